--- /dev/null
+++ b/crates/base/src/header.rs
@@ -0,0 +1,23 @@
+//! Names of the HTTP headers and paths of the public contract in
+//! [docs/interfaces.md](../../../docs/interfaces.md).
+
+/// Outcome of a request: `answered`, `not-run` or `unknown`.
+pub const OUTCOME: &str = "nutmegdale-outcome";
+/// Catalogue version that decided a request.
+pub const VERSION: &str = "nutmegdale-version";
+/// Reason of an outcome other than `answered`.
+pub const REASON: &str = "nutmegdale-reason";
+/// Identifier of a request in logs of callers, entry VMs and backend servers.
+pub const REQUEST_ID: &str = "nutmegdale-request-id";
+/// Client account of a request.
+pub const ACCOUNT: &str = "nutmegdale-account";
+/// Time left for a request, in milliseconds.
+pub const DEADLINE_MS: &str = "nutmegdale-deadline-ms";
+/// Key that identifies a one-time request across resends.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Load report of a backend server on an answer.
+pub const LOAD: &str = "nutmegdale-load";
+/// Statement of a backend server that it did not run a request; its only value is `not-run`.
+pub const REFUSED: &str = "nutmegdale-refused";
+/// Prefix of the paths that an entry VM answers itself.
+pub const RESERVED_PATH: &str = "/.nutmegdale/";
--- /dev/null
+++ b/crates/base/src/outcome.rs
@@ -0,0 +1,104 @@
+//! Outcome of a request, as the caller sees it.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// What happened to a request that an entry VM received.
+///
+/// Invariant: `NotRun` is made only where no byte of the request can have been executed, and
+/// nothing turns `Unknown` into `NotRun`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The whole answer of a backend server was or is being passed on.
+    Answered,
+    /// The request provably did not run.
+    NotRun(Reason),
+    /// The request may have run.
+    Unknown(Reason),
+}
+
+impl Outcome {
+    /// Returns the value of the `nutmegdale-outcome` header.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::NotRun(_) => "not-run",
+            Outcome::Unknown(_) => "unknown",
+        }
+    }
+
+    /// Returns the reason of an outcome other than `Answered`.
+    pub fn reason(self) -> Option<Reason> {
+        match self {
+            Outcome::Answered => None,
+            Outcome::NotRun(reason) | Outcome::Unknown(reason) => Some(reason),
+        }
+    }
+}
+
+macro_rules! reasons {
+    ($($(#[$attr:meta])* $variant:ident = $name:literal,)*) => {
+        /// Why a request was not answered by a backend server.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "kebab-case")]
+        pub enum Reason {
+            $($(#[$attr])* $variant,)*
+        }
+
+        impl Reason {
+            /// Every reason, for metrics with a bounded label set.
+            pub const ALL: &[Reason] = &[$(Reason::$variant,)*];
+
+            /// Returns the value of the `nutmegdale-reason` header.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Reason::$variant => $name,)*
+                }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// No route of the catalogue matches the path.
+    NoRoute = "no-route",
+    /// The account is missing, unknown or not permitted on the route.
+    Account = "account",
+    /// The request is malformed.
+    BadRequest = "bad-request",
+    /// The entry VM holds no catalogue that a quorum confirmed in time.
+    ConfigLease = "config-lease",
+    /// The entry VM lies outside the home regions of the route.
+    HomeRegion = "home-region",
+    /// The availability zone of the entry VM is out of service.
+    ZoneOut = "zone-out",
+    /// The entry VM is shutting down.
+    ShuttingDown = "shutting-down",
+    /// A limit of the catalogue entry is used up.
+    Limit = "limit",
+    /// Every usable backend server is full.
+    Overload = "overload",
+    /// No usable backend server is announced.
+    NoServer = "no-server",
+    /// No connection to a backend server could be made.
+    Connect = "connect",
+    /// The backend server refused the request and stated that it did not run.
+    ServerRefused = "server-refused",
+    /// The deadline passed.
+    Deadline = "deadline",
+    /// The backend server broke off after the request was sent.
+    BrokenAnswer = "broken-answer",
+    /// The record of one-time requests could not be reached.
+    Ledger = "ledger",
+    /// The idempotency key is missing, too long or used with another request.
+    Key = "key",
+    /// An earlier send of the same one-time request has not ended.
+    Pending = "pending",
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
