Serve a request end to end over separate processes

Adds the catalogue state machine, the membership tables, the routing view, the entry and control services in thin form and a test kit.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -60,7 +60,9 @@
 impl ManualClock {
     /// Creates a clock that stands at `start`.
     pub fn new(start: Millis) -> ManualClock {
-        ManualClock { now_ms: atomic::AtomicU64::new(start.0) }
+        ManualClock {
+            now_ms: atomic::AtomicU64::new(start.0),
+        }
     }
 
     /// Moves the clock forward by `span`.
--- a/crates/base/src/entity.rs
+++ b/crates/base/src/entity.rs
@@ -87,7 +87,10 @@
 impl<K: EntityRef, V> PrimaryMap<K, V> {
     /// Creates an empty map.
     pub fn new() -> Self {
-        PrimaryMap { elems: Vec::new(), key: marker::PhantomData }
+        PrimaryMap {
+            elems: Vec::new(),
+            key: marker::PhantomData,
+        }
     }
 
     /// Adds an element and returns its key.
--- a/crates/choice/src/lib.rs
+++ b/crates/choice/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! Which backend server gets a request.
+//!
+//! [`signal::Signal`] holds what one entry process knows of a server's load, in atomics that every
+//! thread updates; [`policy::Policy`] chooses among candidates by those signals. The crate knows no
+//! sockets and no machine clock: time and randomness are passed in, so a recorded trace replays
+//! every choice. See [docs/design.md](../../../docs/design.md), section 6, "Warm servers".
+
+pub mod p2c;
+pub mod policy;
+pub mod signal;
--- /dev/null
+++ b/crates/control/src/catalogue.rs
@@ -0,0 +1,95 @@
+//! The catalogue as the state machine of the control group.
+
+use arc_swap::ArcSwap;
+use nutmegdale_catalogue::{change, state};
+use nutmegdale_replica::machine;
+use serde::{Deserialize, Serialize};
+use std::sync;
+use tokio::sync::watch;
+
+/// Command of the control group.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Command {
+    /// Change that an operator asks for.
+    pub change: change::Change,
+    /// Wall clock of the leader in milliseconds since the Unix epoch, for the history.
+    pub wall_ms: u64,
+}
+
+/// Published catalogue, read without a lock.
+#[derive(Debug)]
+pub struct Published {
+    state: ArcSwap<state::State>,
+    version_tx: watch::Sender<u64>,
+}
+
+impl Published {
+    /// Creates the empty catalogue.
+    pub fn new() -> sync::Arc<Published> {
+        let state = ArcSwap::from_pointee(state::State::new());
+        sync::Arc::new(Published {
+            state,
+            version_tx: watch::Sender::new(0),
+        })
+    }
+
+    /// Returns the state now applied here.
+    pub fn load(&self) -> sync::Arc<state::State> {
+        self.state.load_full()
+    }
+
+    /// Returns a receiver that is told of each new version.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.version_tx.subscribe()
+    }
+}
+
+/// State machine that applies changes and publishes the result.
+#[derive(Debug)]
+pub struct Machine {
+    state: state::State,
+    published: sync::Arc<Published>,
+}
+
+impl Machine {
+    /// Creates a machine that publishes to `published`.
+    pub fn new(published: sync::Arc<Published>) -> Machine {
+        Machine {
+            state: state::State::new(),
+            published,
+        }
+    }
+
+    fn publish(&self) {
+        self.published
+            .state
+            .store(sync::Arc::new(self.state.clone()));
+        let version = self.state.config().version.0;
+        self.published.version_tx.send_if_modified(|last| {
+            let is_new = *last != version;
+            *last = version;
+            is_new
+        });
+    }
+}
+
+impl machine::StateMachine for Machine {
+    fn apply(&mut self, _index: u64, cmd: &[u8], reply: &mut Vec<u8>) {
+        // Commands are encoded by this crate, and the log checks each record's sum.
+        let cmd: Command = rmp_serde::from_slice(cmd).expect("command of this crate");
+        let answer = self.state.apply(cmd.change, cmd.wall_ms);
+        rmp_serde::encode::write_named(reply, &answer).expect("answer can be encoded");
+        self.publish();
+    }
+
+    fn snapshot(&self, buf: &mut Vec<u8>) {
+        rmp_serde::encode::write_named(buf, &self.state).expect("state can be encoded");
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), String> {
+        self.state = rmp_serde::from_slice(snapshot).map_err(|err| err.to_string())?;
+        self.state.reindex();
+        self.publish();
+        Ok(())
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! Control service: the catalogue's replicated group, the hub for entry processes and the
+//! administration API.
+//!
+//! [`catalogue::Machine`] applies changes and publishes each accepted configuration by an atomic
+//! pointer swap; [`hub::Hub`] answers syncs of entry processes after a quorum confirmed the lead;
+//! [`admin::Admin`] answers operators over HTTP and JSON. Decisions lie in the pure crates. See
+//! [docs/design.md](../../../docs/design.md), sections 4 to 6.
+
+pub mod admin;
+pub mod catalogue;
+pub mod hub;
+pub mod service;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,105 @@
-//! Placeholder.
-fn main() {}
+//! The daemon of nutmegdale: runs the roles that its settings name.
+//!
+//! Everything lies in the role crates; this binary reads settings, starts the runtime and passes
+//! signals on. See [docs/operations.md](../../../docs/operations.md).
+
+use nutmegdale_base::clock as base_clock;
+use nutmegdale_settings::{model, read};
+use nutmegdale_telemetry::{clock, log};
+use std::fs;
+use std::io;
+use std::path;
+use std::process;
+use std::str;
+use std::sync;
+use tokio::signal::unix;
+use tokio::sync::watch;
+
+/// Load balancer for public registries.
+#[derive(Debug, argh::FromArgs)]
+struct Args {
+    /// check the settings file, print every fault and exit
+    #[argh(switch)]
+    check: bool,
+
+    /// settings file (INI)
+    #[argh(positional)]
+    settings: path::PathBuf,
+}
+
+fn main() -> process::ExitCode {
+    let args: Args = argh::from_env();
+    let settings = match load(&args.settings) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    if args.check {
+        println!("{}: settings are valid", args.settings.display());
+        return process::ExitCode::SUCCESS;
+    }
+    match start(&settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("nutmegdale: {err}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn load(path: &path::Path) -> Result<model::Settings, process::ExitCode> {
+    let text = fs::read_to_string(path).map_err(|err| {
+        eprintln!("nutmegdale: settings file {}: {err}", path.display());
+        process::ExitCode::from(2)
+    })?;
+    read::parse(&text).map_err(|faults| {
+        for fault in faults {
+            eprintln!("{}: {fault}", path.display());
+        }
+        process::ExitCode::from(2)
+    })
+}
+
+fn start(settings: &model::Settings) -> io::Result<()> {
+    let level = str::FromStr::from_str(&settings.process.log_level).unwrap_or(slog::Level::Info);
+    let log = log::logger(&settings.process.name, level);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.process.threads)
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(settings, &log))
+}
+
+async fn run(settings: &model::Settings, log: &slog::Logger) -> io::Result<()> {
+    let clock: sync::Arc<dyn base_clock::Clock> = sync::Arc::new(clock::SystemClock::start());
+    let (stop_tx, stop_rx) = watch::channel(false);
+    let mut term = unix::signal(unix::SignalKind::terminate())?;
+    let mut int = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        stop_tx.send_replace(true);
+    });
+    let process = &settings.process;
+    let entry = async {
+        match &settings.entry {
+            Some(entry) => {
+                let (clock, stop) = (sync::Arc::clone(&clock), stop_rx.clone());
+                nutmegdale_entry::service::run(process, entry, clock, log.clone(), stop).await
+            }
+            None => Ok(()),
+        }
+    };
+    let control = async {
+        match &settings.control {
+            Some(control) => {
+                let (clock, stop) = (sync::Arc::clone(&clock), stop_rx.clone());
+                nutmegdale_control::service::run(process, control, clock, log.clone(), stop).await
+            }
+            None => Ok(()),
+        }
+    };
+    tokio::try_join!(entry, control)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/tests/whole_path.rs
@@ -0,0 +1,59 @@
+//! Guards the whole path over separate processes: a request that a caller sends to an entry VM
+//! must come back with the answer of the backend server, whole and under the catalogue's version.
+
+use nutmegdale_testkit::{cluster, http};
+use std::time;
+
+const PLACE: cluster::Place = cluster::Place {
+    zone: "zone-a",
+    region: "north",
+};
+
+fn ops() -> serde_json::Value {
+    serde_json::json!([
+        { "op": "put-zone", "zone": { "name": "zone-a", "region": "north" } },
+        { "op": "put-account",
+          "account": { "name": "inspector", "owner": "Ann", "class": "urgent-lookup" } },
+        { "op": "put-route",
+          "route": { "name": "reads", "owner": "Ann", "class": "urgent-lookup",
+                     "path_prefix": "/logs", "service": "reads" } },
+    ])
+}
+
+#[tokio::test]
+async fn request_reaches_server_and_answer_comes_back_whole() {
+    let program = env!("CARGO_BIN_EXE_nutmegdale").into();
+    let plan = cluster::Plan {
+        program,
+        control: vec![PLACE],
+        entry: vec![PLACE, PLACE],
+    };
+    let mut cluster = cluster::Cluster::start(&plan);
+    let version = cluster.apply("first", &ops()).await;
+    assert_eq!(version, 1);
+    let announced = cluster.announcement("reads-1", "reads", "zone-a");
+    let server = cluster.standin(announced).await;
+
+    let headers = [("nutmegdale-account", "inspector")];
+    let req = http::Request::get("/logs/hall-7", &headers);
+    for entry in &cluster.entry {
+        let answer = cluster::eventually(time::Duration::from_secs(10), "an answer", || async {
+            http::send(entry.entry(), &req)
+                .await
+                .ok()
+                .filter(|a| a.status == 200)
+        })
+        .await;
+        assert_eq!(answer.text(), "reads-1 /logs/hall-7 0");
+        assert_eq!(answer.header("nutmegdale-outcome"), "answered");
+        assert_eq!(answer.header("nutmegdale-version"), "1");
+    }
+    assert_eq!(server.shared.executions().len(), 2);
+
+    let addresses = http::Request::get("/.nutmegdale/addresses?route=reads", &[]);
+    let addresses = http::send(cluster.entry[0].entry(), &addresses)
+        .await
+        .expect("answer");
+    let addresses = addresses.json().expect("JSON");
+    assert_eq!(addresses["addresses"].as_array().map(Vec::len), Some(2));
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! Entry service: takes callers' requests and forwards them to backend servers.
+//!
+//! The path of a request reads one immutable [`snapshot::Snapshot`], published by an atomic pointer
+//! swap, and counts in atomics; [`sync`] keeps the snapshot current and [`forward`] is the only
+//! module that sends a request to a server. Decisions lie in the pure crates. See
+//! [docs/design.md](../../../docs/design.md), sections 6 and 8.
+
+pub mod forward;
+pub mod pool;
+pub mod proxy;
+pub mod reserved;
+pub mod response;
+pub mod service;
+pub mod snapshot;
+pub mod sync;
--- /dev/null
+++ b/crates/entry/src/service.rs
@@ -0,0 +1,85 @@
+//! The entry role of a process.
+
+use crate::{proxy, reserved, snapshot, sync as syncer};
+use nutmegdale_base::clock;
+use nutmegdale_catalogue::config;
+use nutmegdale_choice::p2c;
+use nutmegdale_membership::{directory, local};
+use nutmegdale_routing::view;
+use nutmegdale_rpc::listen;
+use nutmegdale_settings::model;
+use nutmegdale_telemetry::clock as machine_clock;
+use std::io;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+use tokio::sync::watch;
+
+/// Time between the announcement of a shutdown and the closing of the listener, in which callers
+/// and other entry processes learn of it.
+const LEAVE_MS: u64 = 500;
+
+/// Runs the entry role until `stop` turns true.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if an address cannot be bound.
+pub async fn run(
+    process: &model::Process,
+    entry: &model::Entry,
+    clock: sync::Arc<dyn clock::Clock>,
+    log: slog::Logger,
+    mut stop: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let listener = listen::bind(entry.listen).await?;
+    let shared = sync::Arc::new(proxy::Shared {
+        clock,
+        published: snapshot::Published::new(empty_snapshot(process)),
+        policy: Box::new(p2c::PowerOfTwo),
+        reserved: reserved::Reserved {
+            local: sync::Mutex::new(local::LocalTable::new()),
+            local_changed: watch::Sender::new(()),
+            addresses_ttl_ms: entry.addresses_ttl_ms,
+        },
+        is_stopping: atomic::AtomicBool::new(false),
+        deadline_ms: entry.deadline_ms,
+        next_request: atomic::AtomicU64::new(0),
+        boot: machine_clock::boot_id(),
+    });
+    let (close_tx, close_rx) = watch::channel(false);
+    let syncer = syncer::Syncer::new(sync::Arc::clone(&shared), process, entry, log.clone());
+    let syncing = tokio::spawn(syncer.run(close_rx.clone()));
+    let service = sync::Arc::new(proxy::Proxy::new(sync::Arc::clone(&shared)));
+    let bounds = listen::Bounds::default();
+    slog::info!(log, "entry role started"; "listen" => %entry.listen);
+    let serving = tokio::spawn(listen::serve(
+        listener,
+        service,
+        bounds,
+        close_rx,
+        entry.drain_ms,
+    ));
+    // The sender lives as long as the process; an error means that it is ending.
+    drop(stop.wait_for(|is_stopping| *is_stopping).await);
+    shared.is_stopping.store(true, atomic::Ordering::Relaxed);
+    shared.reserved.local_changed.send_replace(());
+    tokio::time::sleep(time::Duration::from_millis(LEAVE_MS)).await;
+    close_tx.send_replace(true);
+    let is_drained = serving.await.unwrap_or(false);
+    drop(syncing.await);
+    slog::info!(log, "entry role stopped"; "all_requests_ended" => is_drained);
+    Ok(())
+}
+
+fn empty_snapshot(process: &model::Process) -> snapshot::Snapshot {
+    let place = view::Place {
+        zone: &process.zone,
+        region: &process.region,
+    };
+    let view = view::View::build(
+        &config::Config::default(),
+        &directory::Directory::new(),
+        place,
+    );
+    snapshot::Builder::new().build(view)
+}
--- /dev/null
+++ b/crates/rpc/src/client.rs
@@ -0,0 +1,148 @@
+//! Calls to other processes.
+
+use crate::error;
+use crate::message;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::client::conn::http1;
+use nutmegdale_base::clock;
+use serde::{Serialize, de};
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+use tokio::net::TcpStream;
+
+type Sender = http1::SendRequest<http_body_util::Full<Bytes>>;
+
+/// Idle connections kept per peer.
+const IDLE_MAX_COUNT: usize = 4;
+
+/// Client for calls, with a few idle connections per peer.
+#[derive(Debug)]
+pub struct Client {
+    token: String,
+    idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<Sender>>>,
+}
+
+impl Client {
+    /// Creates a client that shows `token` to its peers.
+    pub fn new(token: &str) -> Client {
+        Client {
+            token: token.to_owned(),
+            idle: sync::Mutex::default(),
+        }
+    }
+
+    /// Calls `name` at `peer` and waits for the answer at most for `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the call was provably not sent; everything else may have been carried out.
+    pub async fn call<Q: Serialize + Sync, A: de::DeserializeOwned>(
+        &self,
+        peer: net::SocketAddr,
+        name: &str,
+        body: &Q,
+        timeout: clock::Millis,
+    ) -> error::Result<A> {
+        let body =
+            rmp_serde::to_vec_named(body).map_err(|err| error::Error::NotSent(err.to_string()))?;
+        let reply = self.call_bytes(peer, name, body, timeout).await?;
+        rmp_serde::from_slice(&reply).map_err(|err| error::Error::Decode(err.to_string()))
+    }
+
+    /// Calls `name` with an encoded body and returns the encoded answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::call`].
+    pub async fn call_bytes(
+        &self,
+        peer: net::SocketAddr,
+        name: &str,
+        body: Vec<u8>,
+        timeout: clock::Millis,
+    ) -> error::Result<Bytes> {
+        let timeout = time::Duration::from_millis(timeout.0);
+        let call = self.call_untimed(peer, name, body);
+        match tokio::time::timeout(timeout, call).await {
+            Ok(result) => result,
+            Err(_) => Err(error::Error::NoAnswer(format!(
+                "timed out after {timeout:?}"
+            ))),
+        }
+    }
+
+    async fn call_untimed(
+        &self,
+        peer: net::SocketAddr,
+        name: &str,
+        body: Vec<u8>,
+    ) -> error::Result<Bytes> {
+        let mut sender = self.checkout(peer).await?;
+        let req = hyper::Request::post(format!("{}{name}", message::CALL_PATH))
+            .header(hyper::header::HOST, peer.to_string())
+            .header(message::PROTOCOL_HEADER, message::PROTOCOL)
+            .header(message::TOKEN_HEADER, &self.token)
+            .body(http_body_util::Full::new(Bytes::from(body)))
+            .map_err(|err| error::Error::NotSent(err.to_string()))?;
+        let response =
+            sender
+                .try_send_request(req)
+                .await
+                .map_err(|mut err| match err.take_message() {
+                    Some(_) => error::Error::NotSent(err.error().to_string()),
+                    None => error::Error::NoAnswer(err.error().to_string()),
+                })?;
+        let status = response.status();
+        let limited = http_body_util::Limited::new(response.into_body(), message::BODY_MAX_BYTES);
+        let collected = limited.collect().await;
+        let body = collected
+            .map_err(|err| error::Error::NoAnswer(err.to_string()))?
+            .to_bytes();
+        if !status.is_success() {
+            let text = String::from_utf8_lossy(&body).into_owned();
+            return Err(error::Error::Refused(status.as_u16(), text));
+        }
+        self.checkin(peer, sender);
+        Ok(body)
+    }
+
+    async fn checkout(&self, peer: net::SocketAddr) -> error::Result<Sender> {
+        while let Some(mut sender) = self.pop_idle(peer) {
+            if sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        let not_sent = |err: &dyn std::error::Error| error::Error::NotSent(err.to_string());
+        let stream = TcpStream::connect(peer)
+            .await
+            .map_err(|err| not_sent(&err))?;
+        stream.set_nodelay(true).map_err(|err| not_sent(&err))?;
+        let io = hyper_util::rt::TokioIo::new(stream);
+        let (sender, conn) = http1::handshake(io).await.map_err(|err| not_sent(&err))?;
+        // The connection's own errors reach the caller through the sender.
+        tokio::spawn(async move { drop(conn.await) });
+        Ok(sender)
+    }
+
+    fn pop_idle(&self, peer: net::SocketAddr) -> Option<Sender> {
+        let mut idle = self
+            .idle
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        idle.get_mut(&peer)?.pop()
+    }
+
+    fn checkin(&self, peer: net::SocketAddr, sender: Sender) {
+        let mut idle = self
+            .idle
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let senders = idle.entry(peer).or_default();
+        if senders.len() < IDLE_MAX_COUNT {
+            senders.push(sender);
+        }
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! What a process shows of itself: JSON log lines, metrics and the machine's clock.
+//!
+//! Decisions never read the machine's clock or write logs; the services at the edge pass the clock
+//! of [`clock`] in and log what the decisions return. Field names of log lines are stable and
+//! listed in [docs/operations.md](../../../docs/operations.md).
+
+pub mod clock;
+pub mod log;
--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,24 @@
+//! JSON log lines on standard error.
+
+use slog::Drain;
+use std::io;
+
+/// Lines that may wait for the writing thread; later ones are dropped and counted by the drain, so
+/// that a slow disk or terminal never blocks a request.
+const QUEUE_MAX_LINES: usize = 4_096;
+
+/// Creates the logger of a process with its name on each line.
+pub fn logger(process: &str, level: slog::Level) -> slog::Logger {
+    let json = slog_json::Json::default(io::stderr()).fuse();
+    let filtered = slog::LevelFilter::new(json, level).fuse();
+    let drain = slog_async::Async::new(filtered)
+        .chan_size(QUEUE_MAX_LINES)
+        .build()
+        .fuse();
+    slog::Logger::root(drain, slog::o!("process" => process.to_owned()))
+}
+
+/// Creates a logger that drops everything, for tests.
+pub fn discard() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
--- /dev/null
+++ b/crates/testkit/src/cluster.rs
@@ -0,0 +1,367 @@
+//! The daemon as separate processes on loopback addresses of their own.
+
+use crate::{http, standin};
+use nutmegdale_membership::announcement;
+use std::env;
+use std::fmt::Write;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::sync::atomic;
+use std::time;
+
+/// Port of callers and servers at an entry process.
+const ENTRY_PORT: u16 = 18080;
+/// Port of metrics and dump at an entry process.
+const OBSERVE_PORT: u16 = 18081;
+/// Port of the system's processes at a control process.
+const CONTROL_PORT: u16 = 18090;
+/// Port of operators at a control process.
+const ADMIN_PORT: u16 = 18091;
+/// Port of a stand-in.
+const STANDIN_PORT: u16 = 18100;
+/// Secret of the processes.
+const CLUSTER_TOKEN: &str = "cluster-token-for-tests";
+/// Token of the operator `tester`.
+const OPERATOR_TOKEN: &str = "operator-token-for-tests";
+
+/// Place of a process.
+#[derive(Debug, Clone, Copy)]
+pub struct Place {
+    /// Availability zone.
+    pub zone: &'static str,
+    /// Region.
+    pub region: &'static str,
+}
+
+/// Process of the daemon; it is killed when dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Name.
+    pub name: String,
+    /// Address of the process.
+    pub ip: net::Ipv4Addr,
+    settings: path::PathBuf,
+    child: Option<process::Child>,
+}
+
+impl Daemon {
+    /// Returns the address for callers and servers.
+    pub fn entry(&self) -> net::SocketAddr {
+        (self.ip, ENTRY_PORT).into()
+    }
+
+    /// Returns the address for metrics and the state dump.
+    pub fn observe(&self) -> net::SocketAddr {
+        (self.ip, OBSERVE_PORT).into()
+    }
+
+    /// Returns the address for operators.
+    pub fn admin(&self) -> net::SocketAddr {
+        (self.ip, ADMIN_PORT).into()
+    }
+
+    /// Returns the address for the system's processes.
+    pub fn control(&self) -> net::SocketAddr {
+        (self.ip, CONTROL_PORT).into()
+    }
+
+    /// Returns the process id.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(process::Child::id)
+    }
+
+    /// Kills the process at once, as a loss of power does.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Fails only if the process has ended already.
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+
+    /// Sends a signal by its name, such as `STOP`, `CONT` or `TERM`.
+    pub fn signal(&self, name: &str) {
+        if let Some(pid) = self.pid() {
+            let mut command = process::Command::new("kill");
+            command.arg(format!("-{name}")).arg(pid.to_string());
+            let status = command.status().expect("kill can be run");
+            assert!(status.success(), "signal {name} to {}", self.name);
+        }
+    }
+
+    /// Waits for the process to end and returns whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        let Some(mut child) = self.child.take() else {
+            return false;
+        };
+        child.wait().is_ok_and(|status| status.success())
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Builder of a cluster.
+#[derive(Debug)]
+pub struct Plan {
+    /// Program of the daemon.
+    pub program: path::PathBuf,
+    /// Places of the control processes.
+    pub control: Vec<Place>,
+    /// Places of the entry processes.
+    pub entry: Vec<Place>,
+}
+
+/// Running cluster with a folder of its own.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Control processes.
+    pub control: Vec<Daemon>,
+    /// Entry processes.
+    pub entry: Vec<Daemon>,
+    program: path::PathBuf,
+    folder: path::PathBuf,
+    addresses: Addresses,
+}
+
+/// Loopback addresses that no other test process uses, so that fixed ports never collide.
+#[derive(Debug)]
+struct Addresses {
+    net: [u8; 2],
+    next: u8,
+}
+
+impl Addresses {
+    fn new() -> Addresses {
+        static CLUSTERS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+        let cluster = CLUSTERS.fetch_add(1, atomic::Ordering::Relaxed);
+        // Process ids of test processes that run at once differ in their low bits.
+        let number = process::id().wrapping_mul(8).wrapping_add(cluster % 8) & 0x7fff;
+        let [_, _, high, low] = number.to_be_bytes();
+        Addresses {
+            net: [high | 0x80, low],
+            next: 0,
+        }
+    }
+
+    fn next(&mut self) -> net::Ipv4Addr {
+        self.next = self
+            .next
+            .checked_add(1)
+            .expect("at most 255 processes in a cluster");
+        net::Ipv4Addr::new(127, self.net[0], self.net[1], self.next)
+    }
+}
+
+impl Cluster {
+    /// Starts every process of a plan.
+    pub fn start(plan: &Plan) -> Cluster {
+        let mut addresses = Addresses::new();
+        let [high, low] = addresses.net;
+        let folder = env::temp_dir().join(format!("nutmegdale-{}-{high}-{low}", process::id()));
+        fs::create_dir_all(&folder).expect("folder of the cluster can be created");
+        let control_ips: Vec<_> = plan.control.iter().map(|_| addresses.next()).collect();
+        let entry_ips: Vec<_> = plan.entry.iter().map(|_| addresses.next()).collect();
+        let mut cluster = Cluster {
+            control: Vec::new(),
+            entry: Vec::new(),
+            program: plan.program.clone(),
+            folder,
+            addresses,
+        };
+        let members: Vec<String> = control_ips
+            .iter()
+            .zip(&plan.control)
+            .enumerate()
+            .map(|(n, (ip, place))| format!("control-{n}@{}={ip}:{CONTROL_PORT}", place.region))
+            .collect();
+        let members = members.join(", ");
+        for (n, (ip, place)) in control_ips.iter().zip(&plan.control).enumerate() {
+            let name = format!("control-{n}");
+            let mut text = process_section(&name, "control", *place);
+            let data = cluster.folder.join(&name);
+            writeln!(
+                text,
+                "[control]\nlisten = {ip}:{CONTROL_PORT}\nadmin = {ip}:{ADMIN_PORT}"
+            )
+            .expect("string can be written");
+            writeln!(text, "data = {}\nmembers = {members}", data.display())
+                .expect("string can be written");
+            writeln!(text, "operators = tester:{OPERATOR_TOKEN}").expect("string can be written");
+            let daemon = cluster.start_daemon(&name, *ip, &text);
+            cluster.control.push(daemon);
+        }
+        let control: Vec<String> = control_ips
+            .iter()
+            .map(|ip| format!("{ip}:{CONTROL_PORT}"))
+            .collect();
+        for (n, (ip, place)) in entry_ips.iter().zip(&plan.entry).enumerate() {
+            let name = format!("entry-{n}");
+            let mut text = process_section(&name, "entry", *place);
+            writeln!(
+                text,
+                "[entry]\nlisten = {ip}:{ENTRY_PORT}\nobserve = {ip}:{OBSERVE_PORT}"
+            )
+            .expect("string can be written");
+            writeln!(text, "control = {}", control.join(", ")).expect("string can be written");
+            let daemon = cluster.start_daemon(&name, *ip, &text);
+            cluster.entry.push(daemon);
+        }
+        cluster
+    }
+
+    fn start_daemon(&self, name: &str, ip: net::Ipv4Addr, text: &str) -> Daemon {
+        let settings = self.folder.join(format!("{name}.ini"));
+        fs::write(&settings, text).expect("settings can be written");
+        let mut daemon = Daemon {
+            name: name.to_owned(),
+            ip,
+            settings,
+            child: None,
+        };
+        self.restart(&mut daemon);
+        daemon
+    }
+
+    /// Starts a daemon that was killed, with the same settings and data.
+    pub fn restart(&self, daemon: &mut Daemon) {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{}.log", daemon.name)))
+            .expect("log can be opened");
+        let child = process::Command::new(&self.program)
+            .arg(&daemon.settings)
+            .stdin(process::Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("daemon can be started");
+        daemon.child = Some(child);
+    }
+
+    /// Returns the folder of settings, logs and data.
+    pub fn folder(&self) -> &path::Path {
+        &self.folder
+    }
+
+    /// Returns a fresh address for a stand-in.
+    pub fn standin_address(&mut self) -> net::SocketAddr {
+        (self.addresses.next(), STANDIN_PORT).into()
+    }
+
+    /// Returns a warm announcement at a fresh address.
+    pub fn announcement(
+        &mut self,
+        server: &str,
+        service: &str,
+        zone: &str,
+    ) -> announcement::Announcement {
+        announcement::Announcement {
+            server: server.to_owned(),
+            service: service.to_owned(),
+            address: self.standin_address(),
+            zone: zone.to_owned(),
+            slots: 4,
+            connections: 300,
+            cold_slots: 1,
+            state: announcement::ServerState::Warm,
+            incarnation: 1,
+            sequence: 0,
+        }
+    }
+
+    /// Starts a stand-in that announces itself to every entry process in turn.
+    pub async fn standin(&mut self, announced: announcement::Announcement) -> standin::StandIn {
+        let entries = self.entry.iter().map(Daemon::entry).collect();
+        let behaviour = standin::Behaviour {
+            service_time: time::Duration::from_millis(2),
+            sheds: false,
+            breaks: false,
+            state: announced.state,
+        };
+        let started = standin::StandIn::start(announced, entries, behaviour).await;
+        started.expect("stand-in can be started")
+    }
+
+    /// Sends an operator's request to control processes in turn until one answers it as leader.
+    pub async fn admin(&self, method: &str, path: &str, body: &str) -> http::Answer {
+        let auth = format!("Bearer {OPERATOR_TOKEN}");
+        let headers = [("authorization", auth.as_str())];
+        let req = http::Request {
+            method,
+            path,
+            headers: &headers,
+            body: body.to_owned().into(),
+        };
+        let mut last = String::new();
+        for attempt in 0..300 {
+            let daemon = &self.control[attempt % self.control.len()];
+            let sent = http::send(daemon.admin(), &req);
+            match tokio::time::timeout(time::Duration::from_secs(3), sent).await {
+                Ok(Ok(answer)) if answer.status != 503 => return answer,
+                Ok(Ok(answer)) => last = answer.text(),
+                Ok(Err(err)) => last = err.to_string(),
+                Err(_) => last = "no answer within 3 s".to_owned(),
+            }
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        panic!("no control process answered {method} {path}: {last}");
+    }
+
+    /// Applies steps to the newest catalogue and returns the version that they made.
+    pub async fn apply(&self, id: &str, ops: &serde_json::Value) -> u64 {
+        let config = self
+            .admin("GET", "/admin/v1/config", "")
+            .await
+            .json()
+            .expect("JSON");
+        let body = serde_json::json!({ "id": id, "base": config["version"], "ops": ops });
+        let answer = self
+            .admin("POST", "/admin/v1/changes", &body.to_string())
+            .await;
+        assert_eq!(answer.status, 200, "change {id}: {}", answer.text());
+        answer.json().expect("JSON")["version"]
+            .as_u64()
+            .expect("version")
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.control.clear();
+        self.entry.clear();
+        // Logs are kept for a look after a failed test.
+        if !std::thread::panicking() {
+            drop(fs::remove_dir_all(&self.folder));
+        }
+    }
+}
+
+fn process_section(name: &str, roles: &str, place: Place) -> String {
+    format!(
+        "[process]\nname = {name}\nroles = {roles}\nzone = {}\nregion = {}\n\
+         cluster_token = {CLUSTER_TOKEN}\n",
+        place.zone, place.region
+    )
+}
+
+/// Repeats `check` every 20 ms until it returns a value, at most for `limit`.
+pub async fn eventually<T, F: Future<Output = Option<T>>>(
+    limit: time::Duration,
+    what: &str,
+    mut check: impl FnMut() -> F,
+) -> T {
+    let start = time::Instant::now();
+    loop {
+        if let Some(value) = check().await {
+            return value;
+        }
+        assert!(start.elapsed() < limit, "not within {limit:?}: {what}");
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
