--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,5 +8,6 @@
 
 pub mod admin;
 pub mod catalogue;
+pub mod groups;
 pub mod hub;
 pub mod service;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,9 +1,8 @@
 //! The control role of a process.
 
-use crate::{admin, catalogue, hub};
+use crate::{admin, catalogue, groups, hub};
 use bytes::Bytes;
 use nutmegdale_base::clock;
-use nutmegdale_replica::single;
 use nutmegdale_rpc::{listen, server};
 use nutmegdale_settings::model;
 use std::io;
@@ -27,7 +26,7 @@
 ) -> io::Result<()> {
     let published = catalogue::Published::new();
     let machine = catalogue::Machine::new(sync::Arc::clone(&published));
-    let group = single::start(Box::new(machine))?;
+    let group = groups::start(groups::CATALOGUE, &control.members, Box::new(machine))?;
     let hub = hub::Hub::new(clock, group.clone(), sync::Arc::clone(&published));
     let calls = sync::Arc::new(Calls {
         hub: sync::Arc::new(hub),
