--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -1,6 +1,6 @@
 //! The daemon as separate processes on loopback addresses of their own.
 
-use crate::{http, standin};
+use crate::{addresses, http, standin};
 use nutmegdale_membership::announcement;
 use std::env;
 use std::fmt::Write;
@@ -8,7 +8,6 @@
 use std::net;
 use std::path;
 use std::process;
-use std::sync::atomic;
 use std::time;
 
 /// Port of callers and servers at an entry process.
@@ -19,8 +18,6 @@
 const CONTROL_PORT: u16 = 18090;
 /// Port of operators at a control process.
 const ADMIN_PORT: u16 = 18091;
-/// Port of a stand-in.
-const STANDIN_PORT: u16 = 18100;
 /// Secret of the processes.
 const CLUSTER_TOKEN: &str = "cluster-token-for-tests";
 /// Token of the operator `tester`.
@@ -126,47 +123,18 @@
     pub entry: Vec<Daemon>,
     program: path::PathBuf,
     folder: path::PathBuf,
-    addresses: Addresses,
-}
-
-/// Loopback addresses that no other test process uses, so that fixed ports never collide.
-#[derive(Debug)]
-struct Addresses {
-    net: [u8; 2],
-    next: u8,
-}
-
-impl Addresses {
-    fn new() -> Addresses {
-        static CLUSTERS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
-        let cluster = CLUSTERS.fetch_add(1, atomic::Ordering::Relaxed);
-        // Process ids of test processes that run at once differ in their low bits.
-        let number = process::id().wrapping_mul(8).wrapping_add(cluster % 8) & 0x7fff;
-        let [_, _, high, low] = number.to_be_bytes();
-        Addresses {
-            net: [high | 0x80, low],
-            next: 0,
-        }
-    }
-
-    fn next(&mut self) -> net::Ipv4Addr {
-        self.next = self
-            .next
-            .checked_add(1)
-            .expect("at most 255 processes in a cluster");
-        net::Ipv4Addr::new(127, self.net[0], self.net[1], self.next)
-    }
+    addresses: addresses::Addresses,
 }
 
 impl Cluster {
     /// Starts every process of a plan.
     pub fn start(plan: &Plan) -> Cluster {
-        let mut addresses = Addresses::new();
-        let [high, low] = addresses.net;
+        let mut addresses = addresses::Addresses::reserve();
+        let [high, low] = addresses.network();
         let folder = env::temp_dir().join(format!("nutmegdale-{}-{high}-{low}", process::id()));
         fs::create_dir_all(&folder).expect("folder of the cluster can be created");
-        let control_ips: Vec<_> = plan.control.iter().map(|_| addresses.next()).collect();
-        let entry_ips: Vec<_> = plan.entry.iter().map(|_| addresses.next()).collect();
+        let control_ips: Vec<_> = plan.control.iter().map(|_| addresses.next_ip()).collect();
+        let entry_ips: Vec<_> = plan.entry.iter().map(|_| addresses.next_ip()).collect();
         let mut cluster = Cluster {
             control: Vec::new(),
             entry: Vec::new(),
@@ -251,7 +219,7 @@
 
     /// Returns a fresh address for a stand-in.
     pub fn standin_address(&mut self) -> net::SocketAddr {
-        (self.addresses.next(), STANDIN_PORT).into()
+        self.addresses.next_address()
     }
 
     /// Returns a warm announcement at a fresh address.
@@ -279,10 +247,8 @@
     pub async fn standin(&mut self, announced: announcement::Announcement) -> standin::StandIn {
         let entries = self.entry.iter().map(Daemon::entry).collect();
         let behaviour = standin::Behaviour {
-            service_time: time::Duration::from_millis(2),
-            sheds: false,
-            breaks: false,
             state: announced.state,
+            ..standin::Behaviour::default()
         };
         let started = standin::StandIn::start(announced, entries, behaviour).await;
         started.expect("stand-in can be started")
--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -1,4 +1,4 @@
-//! Plain HTTP/1.1 client that opens a connection per request.
+//! Plain HTTP/1.1 client.
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -83,28 +83,56 @@
     }
 }
 
+/// Connection that is kept for several requests.
+#[derive(Debug)]
+pub struct Connection {
+    peer: net::SocketAddr,
+    sender: http1::SendRequest<http_body_util::Full<Bytes>>,
+}
+
+impl Connection {
+    /// Connects to a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached; nothing was sent then.
+    pub async fn open(peer: net::SocketAddr) -> Result<Connection, Error> {
+        let stream = TcpStream::connect(peer).await?;
+        stream.set_nodelay(true)?;
+        let (sender, conn) = http1::handshake(hyper_util::rt::TokioIo::new(stream)).await?;
+        tokio::spawn(async move { drop(conn.await) });
+        Ok(Connection { peer, sender })
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer breaks off before the end of the answer.
+    pub async fn send(&mut self, req: &Request<'_>) -> Result<Answer, Error> {
+        self.sender.ready().await?;
+        let mut builder = hyper::Request::builder().method(req.method).uri(req.path);
+        builder = builder.header(hyper::header::HOST, self.peer.to_string());
+        for (name, value) in req.headers {
+            builder = builder.header(*name, *value);
+        }
+        let body = http_body_util::Full::new(req.body.clone());
+        let response = self.sender.send_request(builder.body(body)?).await?;
+        let (head, incoming) = response.into_parts();
+        let body = incoming.collect().await?.to_bytes();
+        Ok(Answer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body,
+        })
+    }
+}
+
 /// Sends a request on a new connection and reads the whole answer.
 ///
 /// # Errors
 ///
 /// Fails if the peer cannot be reached or breaks off before the end of the answer.
 pub async fn send(peer: net::SocketAddr, req: &Request<'_>) -> Result<Answer, Error> {
-    let stream = TcpStream::connect(peer).await?;
-    stream.set_nodelay(true)?;
-    let (mut sender, conn) = http1::handshake(hyper_util::rt::TokioIo::new(stream)).await?;
-    tokio::spawn(async move { drop(conn.await) });
-    let mut builder = hyper::Request::builder().method(req.method).uri(req.path);
-    builder = builder.header(hyper::header::HOST, peer.to_string());
-    for (name, value) in req.headers {
-        builder = builder.header(*name, *value);
-    }
-    let body = http_body_util::Full::new(req.body.clone());
-    let response = sender.send_request(builder.body(body)?).await?;
-    let (head, incoming) = response.into_parts();
-    let body = incoming.collect().await?.to_bytes();
-    Ok(Answer {
-        status: head.status.as_u16(),
-        headers: head.headers,
-        body,
-    })
+    Connection::open(peer).await?.send(req).await
 }
