Keep the history of the catalogue shareable, bounded and comparable

Publishing a change cloned the whole state, with its history and the answers for resends, so each publication cost more than the one before. Nothing bounded the history, and two versions could not be compared.

The history is now a list of shared chunks with a bound on records and bytes; each record holds the entries that the change touched, so differences and earlier configurations are worked out from the records alone. A persistent linked list was ruled out, since it gives no access by version without a walk.

Zone and server service states may be changed without naming a base version, so taking a zone out does not lose a race. A resend whose answer was dropped is recognised by its record. Unknown fields of a step are refused.

The verifier checks answers and history with code of its own. Failing first: with the comparison against the record removed, resend_after_its_answer_was_dropped_is_not_applied_again fails; with remembered answers ignored, racing_and_resent_changes_keep_the_invariants fails.

--- a/crates/catalogue/src/change.rs
+++ b/crates/catalogue/src/change.rs
@@ -6,7 +6,7 @@
 
 /// One step of a change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "op")]
+#[serde(rename_all = "kebab-case", tag = "op", deny_unknown_fields)]
 pub enum Op {
     /// Creates or replaces a route.
     PutRoute {
@@ -60,14 +60,27 @@
     },
 }
 
+impl Op {
+    /// Returns whether the step only takes a zone or server out of or into service.
+    pub fn is_service_state(&self) -> bool {
+        matches!(
+            self,
+            Op::ZoneOut { .. } | Op::ZoneIn { .. } | Op::ServerOut { .. } | Op::ServerIn { .. }
+        )
+    }
+}
+
 /// Change that an operator asks for; its steps are accepted together or not at all.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Change {
     /// Identifier chosen by the client, which makes a resend return the first answer.
     pub id: String,
-    /// Version that the change was made from.
-    pub base: config::Version,
+    /// Version that the change was made from. It may be left out only if every step takes a zone or
+    /// server out or in: such a change means the same on every version, and an operator who takes a
+    /// zone out in haste should not lose a race.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<config::Version>,
     /// Person who asks.
     pub author: String,
     /// Steps in order.
@@ -107,3 +120,10 @@
         faults: Vec<Fault>,
     },
 }
+
+impl Answer {
+    /// Returns whether the change was accepted.
+    pub fn is_accepted(&self) -> bool {
+        matches!(self, Answer::Accepted { .. })
+    }
+}
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -6,8 +6,12 @@
 //! knows no storage, messages or clock; `nutmegdale-routing` turns a `Config` into the view that
 //! the path of a request reads. See [docs/design.md](../../../docs/design.md), section 6.
 
+pub mod audit;
 pub mod change;
 pub mod config;
+pub mod diff;
+pub mod history;
+mod ops;
 pub mod spec;
 pub mod state;
 pub mod validate;
--- a/crates/catalogue/src/spec.rs
+++ b/crates/catalogue/src/spec.rs
@@ -15,7 +15,11 @@
 
 impl fmt::Display for Span {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}s", self.secs)
+        // The longest unit that fits exactly, so that operators read what they wrote.
+        let units = [(86_400, "d"), (3_600, "h"), (60, "m")];
+        let fits = |(secs, _): &(u64, &str)| self.secs > 0 && self.secs.is_multiple_of(*secs);
+        let (secs, unit) = units.into_iter().find(fits).unwrap_or((1, "s"));
+        write!(f, "{}{unit}", self.secs / secs)
     }
 }
 
--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -2,42 +2,52 @@
 
 use crate::change;
 use crate::config;
+use crate::diff;
+use crate::history;
+use crate::ops;
 use crate::validate;
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 use sha2::Digest;
 use std::collections;
 use std::sync;
 
-/// Answers kept for resends. At 1,600 changes a day this covers more than 40 days.
-pub const ANSWERS_MAX_COUNT: usize = 65_536;
-
-/// Accepted change, as the history shows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// Version that the change made.
-    pub version: config::Version,
-    /// Time of acceptance by the leader's wall clock, in milliseconds since the Unix epoch. It is
-    /// shown to operators and decides nothing.
-    pub wall_ms: u64,
-    /// The change.
-    pub change: change::Change,
-}
-
+/// Answers kept for resends. At 1,600 changes a day this covers 10 days. A change that is resent
+/// later still cannot be applied twice: its base version has passed.
+pub const ANSWERS_MAX_COUNT: usize = 16_384;
+/// Faults of one answer; answers are kept, so their size is bounded.
+const FAULTS_MAX_COUNT: usize = 64;
+/// Longest identifier or author of a change, in bytes.
+const ID_MAX_BYTES: usize = 128;
+/// Most steps of one change.
+const OPS_MAX_COUNT: usize = 1_000;
+
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Remembered {
     id: String,
-    digest: Vec<u8>,
+    #[serde_as(as = "serde_with::Bytes")]
+    digest: [u8; 32],
     answer: change::Answer,
 }
 
+/// What readers need: the accepted configuration and its history. A clone copies a few pointers,
+/// whatever the length of the history.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The newest accepted configuration.
+    pub config: sync::Arc<config::Config>,
+    /// The changes that led to it.
+    pub history: history::History,
+}
+
 /// Catalogue with its history and the answers for resends.
 ///
 /// Invariant: the state is a function of the sequence of changes applied, so replicas that applied
 /// the same log hold the same bytes.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct State {
-    config: sync::Arc<config::Config>,
-    history: Vec<sync::Arc<Record>>,
+    accepted: Accepted,
     answers: collections::VecDeque<Remembered>,
     #[serde(skip)]
     answer_index: collections::HashMap<String, u64>,
@@ -59,30 +69,35 @@
 
     /// Returns the configuration now accepted.
     pub fn config(&self) -> &sync::Arc<config::Config> {
-        &self.config
+        &self.accepted.config
+    }
+
+    /// Returns what readers need.
+    pub fn accepted(&self) -> &Accepted {
+        &self.accepted
     }
 
-    /// Returns accepted changes after `version`, oldest first.
-    pub fn history_after(&self, version: config::Version) -> &[sync::Arc<Record>] {
-        let from = self.history.partition_point(|r| r.version <= version);
-        &self.history[from..]
+    /// Returns the number of answers kept for resends.
+    pub fn answers_count(&self) -> usize {
+        self.answers.len()
     }
 
     /// Applies a change and returns its answer; a resent change gets its first answer again.
     pub fn apply(&mut self, change: change::Change, wall_ms: u64) -> change::Answer {
-        let digest = digest(&change);
+        if let Some(fault) = head_fault(&change) {
+            return rejected(vec![fault]);
+        }
+        let encoded = serde_json::to_vec(&change).expect("change can be encoded");
+        let digest = sha2::Sha256::digest(&encoded).into();
         if let Some(remembered) = self.remembered(&change.id) {
             if remembered.digest == digest {
                 return remembered.answer.clone();
             }
-            let rule = "was used for another change".to_owned();
-            return rejected(change::Fault {
-                field: "id".to_owned(),
-                rule,
-            });
+            return rejected(vec![fault("id", "was used for another change")]);
         }
         let id = change.id.clone();
-        let answer = self.decide(change, wall_ms);
+        let encoded_bytes = encoded.len() as u64;
+        let answer = self.decide(change, encoded_bytes, wall_ms);
         self.remember(Remembered {
             id,
             digest,
@@ -109,138 +124,97 @@
         }
     }
 
-    fn decide(&mut self, change: change::Change, wall_ms: u64) -> change::Answer {
-        if change.id.is_empty() || change.id.len() > 128 {
-            let rule = "must have 1 to 128 bytes".to_owned();
-            return rejected(change::Fault {
-                field: "id".to_owned(),
-                rule,
-            });
-        }
-        if change.base != self.config.version {
-            return self.conflict(change.base);
+    fn decide(
+        &mut self,
+        change: change::Change,
+        encoded_bytes: u64,
+        wall_ms: u64,
+    ) -> change::Answer {
+        let old = &self.accepted.config;
+        let (base, version) = (old.version, config::Version(old.version.0 + 1));
+        match change.base {
+            Some(stated) if stated != base => return self.conflict(&change, stated),
+            None if !change.ops.iter().all(change::Op::is_service_state) => {
+                let rule = "is required unless every step takes a zone or server out or in";
+                return rejected(vec![fault("base", rule)]);
+            }
+            _ => {}
         }
-        let mut next = config::Config::clone(&self.config);
+        let mut next = config::Config::clone(old);
         let mut faults = Vec::new();
-        if change.ops.is_empty() {
-            let rule = "must hold at least one step".to_owned();
-            faults.push(change::Fault {
-                field: "ops".to_owned(),
-                rule,
-            });
-        }
         for op in &change.ops {
-            apply_op(&mut next, op, &mut faults);
+            ops::apply(&mut next, op, &mut faults);
         }
         faults.extend(validate::check(&next));
         if !faults.is_empty() {
-            return change::Answer::Rejected { faults };
+            return rejected(faults);
         }
-        bind_ledger_regions(&mut next);
-        next.version = config::Version(self.config.version.0 + 1);
-        let version = next.version;
-        self.config = sync::Arc::new(next);
-        self.history.push(sync::Arc::new(Record {
+        ops::bind_ledger_regions(&mut next);
+        next.version = version;
+        let effects = diff::between(old, &next);
+        self.accepted.config = sync::Arc::new(next);
+        self.accepted.history.push(history::Record {
             version,
+            base,
             wall_ms,
+            encoded_bytes,
             change,
-        }));
+            effects,
+        });
         change::Answer::Accepted { version }
     }
 
-    fn conflict(&self, base: config::Version) -> change::Answer {
-        let current = self.config.version;
-        match self.history_after(base).first() {
+    fn conflict(&self, change: &change::Change, base: config::Version) -> change::Answer {
+        let current = self.accepted.config.version;
+        if base > current {
+            let rule = format!("version {base} does not exist; the newest is {current}");
+            return rejected(vec![fault("base", &rule)]);
+        }
+        let winner = self.accepted.history.after(base).next();
+        match winner.filter(|winner| winner.base == base) {
+            // The answer to this resend was dropped, but the history still holds its change.
+            Some(winner) if winner.change == *change => change::Answer::Accepted {
+                version: winner.version,
+            },
             Some(winner) => change::Answer::Conflict {
                 current,
                 winner: winner.change.id.clone(),
                 winner_author: winner.change.author.clone(),
             },
             None => {
-                let rule = format!("version {base} does not exist; the newest is {current}");
-                rejected(change::Fault {
-                    field: "base".to_owned(),
-                    rule,
-                })
+                let rule = format!("version {base} is no longer in the history");
+                rejected(vec![fault("base", &rule)])
             }
         }
     }
 }
 
-fn rejected(fault: change::Fault) -> change::Answer {
-    change::Answer::Rejected {
-        faults: vec![fault],
+fn head_fault(change: &change::Change) -> Option<change::Fault> {
+    let is_ok = |text: &str| !text.is_empty() && text.len() <= ID_MAX_BYTES;
+    if !is_ok(&change.id) {
+        return Some(fault("id", "must have 1 to 128 bytes"));
     }
+    if !is_ok(&change.author) {
+        return Some(fault("author", "must have 1 to 128 bytes"));
+    }
+    if change.ops.is_empty() || change.ops.len() > OPS_MAX_COUNT {
+        return Some(fault("ops", "must hold 1 to 1000 steps"));
+    }
+    None
 }
 
-fn digest(change: &change::Change) -> Vec<u8> {
-    // The derived form names every field, so two changes that differ have different texts.
-    sha2::Sha256::digest(format!("{change:?}")).to_vec()
-}
-
-fn bind_ledger_regions(cfg: &mut config::Config) {
-    for (name, route) in &cfg.routes {
-        if let Some(region) = &route.ledger_region {
-            cfg.ledger_regions
-                .entry(name.clone())
-                .or_insert_with(|| region.clone());
-        }
+fn fault(field: &str, rule: &str) -> change::Fault {
+    change::Fault {
+        field: field.to_owned(),
+        rule: rule.to_owned(),
     }
 }
 
-fn apply_op(cfg: &mut config::Config, op: &change::Op, faults: &mut Vec<change::Fault>) {
-    let mut missing = |kind: &str, name: &str| {
-        let rule = format!("{kind} {name:?} does not exist");
-        faults.push(change::Fault {
-            field: format!("{kind}s.{name}"),
-            rule,
-        });
-    };
-    match op {
-        change::Op::PutRoute { route } => {
-            cfg.routes.insert(route.name.clone(), route.clone());
-        }
-        change::Op::RemoveRoute { name } => {
-            if cfg.routes.remove(name).is_none() {
-                missing("route", name);
-            }
-        }
-        change::Op::PutAccount { account } => {
-            cfg.accounts.insert(account.name.clone(), account.clone());
-        }
-        change::Op::RemoveAccount { name } => {
-            if cfg.accounts.remove(name).is_none() {
-                missing("account", name);
-            }
-        }
-        change::Op::PutZone { zone } => {
-            let out = cfg.zones.get(&zone.name).is_some_and(|z| z.out);
-            let state = config::ZoneState {
-                region: zone.region.clone(),
-                out,
-            };
-            cfg.zones.insert(zone.name.clone(), state);
-        }
-        change::Op::RemoveZone { name } => {
-            if cfg.zones.remove(name).is_none() {
-                missing("zone", name);
-            }
-        }
-        change::Op::ZoneOut { name } => match cfg.zones.get_mut(name) {
-            Some(zone) => zone.out = true,
-            None => missing("zone", name),
-        },
-        change::Op::ZoneIn { name } => match cfg.zones.get_mut(name) {
-            Some(zone) => zone.out = false,
-            None => missing("zone", name),
-        },
-        change::Op::ServerOut { name } => {
-            cfg.servers_out.insert(name.clone());
-        }
-        change::Op::ServerIn { name } => {
-            if !cfg.servers_out.remove(name) {
-                missing("server", name);
-            }
-        }
+fn rejected(mut faults: Vec<change::Fault>) -> change::Answer {
+    if faults.len() > FAULTS_MAX_COUNT {
+        let rest = faults.len() - FAULTS_MAX_COUNT;
+        faults.truncate(FAULTS_MAX_COUNT);
+        faults.push(fault("ops", &format!("has {rest} more faults")));
     }
+    change::Answer::Rejected { faults }
 }
--- a/crates/catalogue/src/validate.rs
+++ b/crates/catalogue/src/validate.rs
@@ -11,6 +11,13 @@
 const NAME_MAX_BYTES: usize = 64;
 /// Longest path prefix, in bytes.
 const PREFIX_MAX_BYTES: usize = 256;
+/// Longest name of an owner, in bytes.
+const OWNER_MAX_BYTES: usize = 128;
+/// Most routes, accounts or servers out of service. The configuration travels whole to each entry
+/// process.
+const ENTRIES_MAX_COUNT: usize = 10_000;
+/// Most zones, and thereby regions; a set of regions is a mask of 64 bits.
+const ZONES_MAX_COUNT: usize = 64;
 /// Longest retention of one-time requests, in seconds: one year.
 const RETENTION_MAX_SECS: u64 = 366 * 86_400;
 
@@ -20,6 +27,7 @@
         cfg,
         faults: Vec::new(),
     };
+    cx.check_counts();
     cx.check_zones();
     cx.check_accounts();
     cx.check_routes();
@@ -62,6 +70,32 @@
         if owner.trim().is_empty() {
             self.fault(format!("{field}.owner"), "must name a person");
         }
+        if owner.len() > OWNER_MAX_BYTES {
+            let rule = format!("must have at most {OWNER_MAX_BYTES} bytes");
+            self.fault(format!("{field}.owner"), rule);
+        }
+    }
+
+    fn check_counts(&mut self) {
+        let counts = [
+            ("routes", self.cfg.routes.len(), ENTRIES_MAX_COUNT),
+            ("accounts", self.cfg.accounts.len(), ENTRIES_MAX_COUNT),
+            ("servers_out", self.cfg.servers_out.len(), ENTRIES_MAX_COUNT),
+            (
+                "ledger_regions",
+                self.cfg.ledger_regions.len(),
+                ENTRIES_MAX_COUNT,
+            ),
+            ("zones", self.cfg.zones.len(), ZONES_MAX_COUNT),
+        ];
+        for (field, count, most) in counts {
+            if count > most {
+                self.fault(
+                    field.to_owned(),
+                    format!("must have at most {most} entries"),
+                );
+            }
+        }
     }
 
     fn check_zones(&mut self) {
@@ -71,7 +105,7 @@
             self.check_name(&format!("{field}.region"), &zone.region);
         }
         for name in &self.cfg.servers_out {
-            self.check_name("servers_out", name);
+            self.check_name(&format!("servers_out.{name}"), name);
         }
     }
 
@@ -131,12 +165,7 @@
             self.check_regions(&format!("{field}.home_regions"), &route.home_regions);
             self.check_limits(&field, &route.limits);
             self.check_ledger(&field, name, route);
-            for account in &route.accounts {
-                if !self.cfg.accounts.contains_key(account) {
-                    let rule = format!("account {account:?} does not exist");
-                    self.fault(format!("{field}.accounts"), rule);
-                }
-            }
+            self.check_route_accounts(&format!("{field}.accounts"), &route.accounts);
             if let Some(other) = prefixes.insert(route.path_prefix.as_str(), name) {
                 let rule = format!("prefix is taken by route {other:?}");
                 self.fault(format!("{field}.path_prefix"), rule);
@@ -144,6 +173,20 @@
         }
     }
 
+    fn check_route_accounts(&mut self, field: &str, accounts: &[String]) {
+        let mut seen = collections::BTreeSet::new();
+        for account in accounts {
+            if !self.cfg.accounts.contains_key(account) {
+                let rule = format!("account {account:?} does not exist");
+                self.fault(field.to_owned(), rule);
+            }
+            if !seen.insert(account) {
+                let rule = format!("account {account:?} is listed twice");
+                self.fault(field.to_owned(), rule);
+            }
+        }
+    }
+
     fn check_prefix(&mut self, field: &str, prefix: &str) {
         let plain = |b: u8| b.is_ascii_alphanumeric() || b"/-_.~".contains(&b);
         let segments_ok = prefix == "/"
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -21,7 +21,7 @@
 #[serde(deny_unknown_fields)]
 struct ChangeBody {
     id: String,
-    base: config::Version,
+    base: Option<config::Version>,
     ops: Vec<change::Op>,
 }
 
@@ -103,10 +103,7 @@
 
     async fn show(&self) -> hyper::Response<listen::Body> {
         match self.group.confirm().await {
-            Ok(_) => json(
-                hyper::StatusCode::OK,
-                self.published.load().config().as_ref(),
-            ),
+            Ok(_) => json(hyper::StatusCode::OK, self.published.load().config.as_ref()),
             Err(err) => group_error(&err),
         }
     }
--- a/crates/control/src/catalogue.rs
+++ b/crates/control/src/catalogue.rs
@@ -19,23 +19,23 @@
 /// Published catalogue, read without a lock.
 #[derive(Debug)]
 pub struct Published {
-    state: ArcSwap<state::State>,
+    accepted: ArcSwap<state::Accepted>,
     version_tx: watch::Sender<u64>,
 }
 
 impl Published {
     /// Creates the empty catalogue.
     pub fn new() -> sync::Arc<Published> {
-        let state = ArcSwap::from_pointee(state::State::new());
+        let accepted = ArcSwap::from_pointee(state::Accepted::default());
         sync::Arc::new(Published {
-            state,
+            accepted,
             version_tx: watch::Sender::new(0),
         })
     }
 
-    /// Returns the state now applied here.
-    pub fn load(&self) -> sync::Arc<state::State> {
-        self.state.load_full()
+    /// Returns what is applied here.
+    pub fn load(&self) -> sync::Arc<state::Accepted> {
+        self.accepted.load_full()
     }
 
     /// Returns a receiver that is told of each new version.
@@ -61,9 +61,9 @@
     }
 
     fn publish(&self) {
-        self.published
-            .state
-            .store(sync::Arc::new(self.state.clone()));
+        // The clone shares the history, so its cost does not grow with the number of changes.
+        let accepted = sync::Arc::new(self.state.accepted().clone());
+        self.published.accepted.store(accepted);
         let version = self.state.config().version.0;
         self.published.version_tx.send_if_modified(|last| {
             let is_new = *last != version;
@@ -77,9 +77,12 @@
     fn apply(&mut self, _index: u64, cmd: &[u8], reply: &mut Vec<u8>) {
         // Commands are encoded by this crate, and the log checks each record's sum.
         let cmd: Command = rmp_serde::from_slice(cmd).expect("command of this crate");
+        let before = self.state.config().version;
         let answer = self.state.apply(cmd.change, cmd.wall_ms);
         rmp_serde::encode::write_named(reply, &answer).expect("answer can be encoded");
-        self.publish();
+        if self.state.config().version != before {
+            self.publish();
+        }
     }
 
     fn snapshot(&self, buf: &mut Vec<u8>) {
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -91,7 +91,7 @@
     }
 
     fn has_news(&self, req: &message::SyncRequest) -> bool {
-        let version = self.published.load().config().version;
+        let version = self.published.load().config.version;
         let table = self.table();
         version > req.version
             || table.epoch() != req.position.epoch
@@ -100,8 +100,8 @@
     }
 
     fn reply(&self, req: &message::SyncRequest) -> message::SyncReply {
-        let state = self.published.load();
-        let config = state.config();
+        let accepted = self.published.load();
+        let config = &accepted.config;
         let is_newer = config.version > req.version;
         message::SyncReply::Confirmed {
             version: config.version,
