--- a/crates/verifier/src/lib.rs
+++ b/crates/verifier/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Invariant checks, independent of the code that keeps the invariants.
+
+pub mod ledger;
