--- a/crates/verifier/src/lib.rs
+++ b/crates/verifier/src/lib.rs
@@ -5,3 +5,4 @@
 //! [docs/design.md](../../../docs/design.md), section 1.
 
 pub mod catalogue;
+pub mod ledger;
