--- /dev/null
+++ b/crates/testkit/src/bin/load/main.rs
@@ -0,0 +1,173 @@
+//! Measures what nutmegdale adds to a call, beside the direct way and a bare relay.
+//!
+//! The ways alternate within one run, so that noise of the machine meets all of them alike. See
+//! [docs/measurements.md](../../../../../docs/measurements.md).
+
+mod setup;
+mod table;
+
+use nutmegdale_testkit::{load, machine};
+use std::env;
+use std::path;
+use std::time;
+
+/// Size of an export in bytes.
+const EXPORT_BYTES: u64 = 64 * 1024 * 1024;
+
+/// Measures nutmegdale, a bare relay and the direct way in turn.
+#[derive(Debug, argh::FromArgs)]
+struct Args {
+    /// program of the daemon; may be given several times to compare builds
+    #[argh(option)]
+    daemon: Vec<path::PathBuf>,
+
+    /// calls per second; 0 keeps every connection busy
+    #[argh(option, default = "7800.0")]
+    rate: f64,
+
+    /// bytes of an answer
+    #[argh(option, default = "200")]
+    bytes: u64,
+
+    /// connections of the load tool
+    #[argh(option, default = "64")]
+    connections: usize,
+
+    /// servers
+    #[argh(option, default = "20")]
+    servers: u16,
+
+    /// services
+    #[argh(option, default = "1")]
+    services: u16,
+
+    /// rounds over all ways
+    #[argh(option, default = "5")]
+    rounds: u64,
+
+    /// seconds of one way in one round
+    #[argh(option, default = "2")]
+    seconds: u64,
+
+    /// connections that fetch 64 MB exports all the time beside the calls
+    #[argh(option, default = "0")]
+    exports: usize,
+
+    /// idle connections to open for a measurement of memory
+    #[argh(option, default = "0")]
+    idle: usize,
+}
+
+fn main() {
+    let mut args: Args = argh::from_env();
+    if args.daemon.is_empty() {
+        let own = env::current_exe().expect("own program is known");
+        args.daemon.push(own.with_file_name("nutmegdale"));
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .expect("runtime can be built");
+    let size = setup::Size {
+        servers: args.servers,
+        services: args.services,
+        bytes: args.bytes,
+    };
+    let setup = runtime.block_on(setup::Setup::start(&args.daemon, size));
+    if args.idle > 0 {
+        runtime.block_on(print_memory(&setup, args.idle));
+        return;
+    }
+    let calls = measure(&args, &setup, size);
+    let title = format!(
+        "{} B answers at {} calls/s over {} connections, {} servers in {} services, {} exports",
+        args.bytes, args.rate, args.connections, args.servers, args.services, args.exports
+    );
+    table::print(&title, &calls);
+}
+
+fn measure(args: &Args, setup: &setup::Setup, size: setup::Size) -> Vec<table::Row> {
+    let mut rows: Vec<table::Row> = setup
+        .ways
+        .iter()
+        .map(|way| table::Row {
+            name: way.name.clone(),
+            measured: load::Measured::new(),
+            cpu_us: 0,
+        })
+        .collect();
+    for round in 0..=args.rounds {
+        for (way, row) in setup.ways.iter().zip(&mut rows) {
+            let cpu_us = way.pid.map_or(0, machine::cpu_us);
+            let measured = run_once(args, way, round, size);
+            let cpu_us = way.pid.map_or(0, machine::cpu_us) - cpu_us;
+            // The first round opens connections and warms up.
+            if round > 0 {
+                row.measured.add(&measured);
+                row.cpu_us += cpu_us;
+            }
+        }
+    }
+    rows
+}
+
+fn run_once(args: &Args, way: &setup::Way, round: u64, size: setup::Size) -> load::Measured {
+    let plan = load::Plan {
+        rate: args.rate,
+        connections_count: args.connections,
+        lanes_count: 2,
+        time: time::Duration::from_secs(args.seconds),
+        seed: round,
+    };
+    if args.exports == 0 {
+        return load::run(&way.target, &plan);
+    }
+    let export_size = setup::Size {
+        bytes: EXPORT_BYTES,
+        ..size
+    };
+    let exports = setup::target(way.target.peers.clone(), export_size);
+    let export_plan = load::Plan {
+        rate: 0.0,
+        connections_count: args.exports,
+        lanes_count: 1,
+        ..plan
+    };
+    let beside = std::thread::spawn(move || load::run(&exports, &export_plan));
+    let measured = load::run(&way.target, &plan);
+    let exported = beside.join().expect("exports do not panic");
+    let rate = exported.body_bytes as f64 / exported.elapsed.as_secs_f64() / 1e6;
+    println!(
+        "round {round}, {}: {rate:.0} MB/s of exports, {} whole, {} failed",
+        way.name,
+        exported.answered_count(),
+        exported.failed_count
+    );
+    measured
+}
+
+/// Prints the memory that each connection costs after one call over it.
+async fn print_memory(setup: &setup::Setup, count: usize) {
+    for way in &setup.ways {
+        let Some(pid) = way.pid else { continue };
+        let before = machine::resident_kib(pid);
+        let mut connections = Vec::new();
+        for _ in 0..count {
+            let peer = way.target.peers[0];
+            let opened = nutmegdale_testkit::http::Connection::open(peer).await;
+            let mut connection = opened.expect("peer accepts");
+            let headers = [("nutmegdale-account", "caller")];
+            let req = nutmegdale_testkit::http::Request::get("/svc0/hall-7?bytes=200", &headers);
+            let answer = connection.send(&req).await.expect("answer");
+            assert_eq!(answer.status, 200);
+            connections.push(connection);
+        }
+        let used = machine::resident_kib(pid).saturating_sub(before);
+        println!(
+            "{}: {:.2} KiB per idle connection, {count} connections, {before} KiB before",
+            way.name,
+            used as f64 / count as f64
+        );
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/bin/load/setup.rs
@@ -0,0 +1,186 @@
+//! Processes that a measurement needs.
+
+use nutmegdale_testkit::{addresses, cluster, http, load};
+use std::env;
+use std::net;
+use std::path;
+use std::process;
+use std::time;
+
+/// Time for the processes to know each other.
+const READY: time::Duration = time::Duration::from_secs(30);
+const PLACE: cluster::Place = cluster::Place {
+    zone: "zone-a",
+    region: "north",
+};
+
+/// Child process that is killed when dropped.
+pub(crate) struct Child(process::Child);
+
+impl Child {
+    fn start(program: &str, args: &[String]) -> Child {
+        let folder = env::current_exe().expect("own program is known");
+        let program = folder.with_file_name(program);
+        let child = process::Command::new(&program)
+            .args(args)
+            .stdin(process::Stdio::piped())
+            .spawn();
+        Child(child.unwrap_or_else(|err| panic!("{}: {err}", program.display())))
+    }
+
+    fn pid(&self) -> u32 {
+        self.0.id()
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        // Fails only if the process has ended already.
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
+}
+
+/// Size of the system that is measured.
+#[derive(Clone, Copy)]
+pub(crate) struct Size {
+    pub(crate) servers: u16,
+    pub(crate) services: u16,
+    /// Size of each answer.
+    pub(crate) bytes: u64,
+}
+
+/// Way of a request to a server.
+pub(crate) struct Way {
+    pub(crate) name: String,
+    pub(crate) target: load::Target,
+    /// Process between, if there is one.
+    pub(crate) pid: Option<u32>,
+}
+
+/// Everything that runs during a measurement.
+pub(crate) struct Setup {
+    pub(crate) ways: Vec<Way>,
+    _clusters: Vec<cluster::Cluster>,
+    _children: Vec<Child>,
+}
+
+impl Setup {
+    /// Starts stand-ins, the bare relay and a cluster for each daemon.
+    pub(crate) async fn start(daemons: &[path::PathBuf], size: Size) -> Setup {
+        let mut setup = Setup {
+            ways: Vec::new(),
+            _clusters: Vec::new(),
+            _children: Vec::new(),
+        };
+        for (number, daemon) in daemons.iter().enumerate() {
+            let plan = cluster::Plan {
+                program: daemon.clone(),
+                control: vec![PLACE],
+                entry: vec![PLACE, PLACE],
+            };
+            let mut cluster = cluster::Cluster::start(&plan);
+            cluster.apply("load", &ops(size.services)).await;
+            let first = cluster.standin_address();
+            // Servers announce to the other entry process, as most do in a large system.
+            setup.start_standins(first, cluster.entry[1].entry(), size);
+            let entry = cluster.entry[0].entry();
+            wait_ready(entry, size).await;
+            if number == 0 {
+                setup.add_direct_and_relay(first, size);
+            }
+            setup.ways.push(Way {
+                name: format!("nutmegdale {number}"),
+                target: target(vec![entry], size),
+                pid: cluster.entry[0].pid(),
+            });
+            setup._clusters.push(cluster);
+        }
+        setup
+    }
+
+    fn start_standins(&mut self, first: net::SocketAddr, entry: net::SocketAddr, size: Size) {
+        let services: Vec<String> = (0..size.services).map(|n| format!("svc{n}")).collect();
+        let options = [
+            ("--first", first.to_string()),
+            ("--servers", size.servers.to_string()),
+            ("--services", services.join(",")),
+            ("--zones", PLACE.zone.to_owned()),
+            ("--entries", entry.to_string()),
+            ("--slots", "1000".to_owned()),
+            ("--connections", "10000".to_owned()),
+            ("--service-ms", "0".to_owned()),
+        ];
+        let args: Vec<String> = options
+            .into_iter()
+            .flat_map(|(name, value)| [name.to_owned(), value])
+            .collect();
+        self._children.push(Child::start("standin", &args));
+    }
+
+    fn add_direct_and_relay(&mut self, first: net::SocketAddr, size: Size) {
+        let servers: Vec<net::SocketAddr> = (0..size.servers)
+            .map(|n| (first.ip(), first.port() + n).into())
+            .collect();
+        let list: Vec<String> = servers.iter().map(ToString::to_string).collect();
+        let listen = addresses::Addresses::reserve().next_address();
+        let args = ["--listen", &listen.to_string(), "--to", &list.join(",")];
+        let relay = Child::start("relay", &args.map(ToOwned::to_owned));
+        self.ways.push(Way {
+            name: "direct".to_owned(),
+            target: target(servers, size),
+            pid: None,
+        });
+        self.ways.push(Way {
+            name: "bare relay".to_owned(),
+            target: target(vec![listen], size),
+            pid: Some(relay.pid()),
+        });
+        self._children.push(relay);
+    }
+}
+
+/// Returns a target whose requests go over all services in turn.
+pub(crate) fn target(peers: Vec<net::SocketAddr>, size: Size) -> load::Target {
+    let requests = (0..size.services).map(|n| encoded(n, size.bytes));
+    load::Target {
+        peers,
+        requests: requests.collect(),
+    }
+}
+
+fn encoded(service: u16, bytes: u64) -> Vec<u8> {
+    format!(
+        "GET /svc{service}/hall-7?bytes={bytes} HTTP/1.1\r\nhost: registry\r\n\
+         nutmegdale-account: caller\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+fn ops(services: u16) -> serde_json::Value {
+    let mut ops = vec![
+        serde_json::json!({ "op": "put-zone",
+            "zone": { "name": PLACE.zone, "region": PLACE.region } }),
+        serde_json::json!({ "op": "put-account",
+            "account": { "name": "caller", "owner": "Ann", "class": "urgent-lookup" } }),
+    ];
+    for n in 0..services {
+        ops.push(serde_json::json!({ "op": "put-route",
+            "route": { "name": format!("svc{n}"), "owner": "Ann", "class": "urgent-lookup",
+                       "path_prefix": format!("/svc{n}"), "service": format!("svc{n}") } }));
+    }
+    ops.into()
+}
+
+async fn wait_ready(entry: net::SocketAddr, size: Size) {
+    let headers = [("nutmegdale-account", "caller")];
+    for n in 0..size.services {
+        let path = format!("/svc{n}/hall-7");
+        let req = http::Request::get(&path, &headers);
+        cluster::eventually(READY, "every service has a server", || async {
+            let answer = http::send(entry, &req).await.ok()?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+    }
+}
--- a/crates/testkit/src/standin/announce.rs
+++ b/crates/testkit/src/standin/announce.rs
@@ -7,8 +7,6 @@
 use std::sync;
 use std::time;
 
-/// Time between renewals. It is shorter than the answer asks for, so that tests are quick.
-const RENEW: time::Duration = time::Duration::from_millis(500);
 /// Pause before the next entry process is tried.
 const MOVE: time::Duration = time::Duration::from_millis(100);
 /// Time for one announcement.
@@ -25,7 +23,7 @@
     }
     let mut entry = 0;
     loop {
-        let mut pause = RENEW;
+        let mut pause = shared.behaviour().renew_time;
         if let Some(load) = shared.announced() {
             announced.sequence += 1;
             announced.state = load.state;
--- a/crates/testkit/src/standin/answer.rs
+++ b/crates/testkit/src/standin/answer.rs
@@ -100,7 +100,9 @@
             Ok(collected) => collected.to_bytes().len(),
             Err(_) => return hyper::Response::new(bodies::broken()),
         };
-        tokio::time::sleep(behaviour.service_time).await;
+        if !behaviour.service_time.is_zero() {
+            tokio::time::sleep(behaviour.service_time).await;
+        }
         while let Some(until) = self.collapsed_until() {
             tokio::time::sleep_until(until.into()).await;
         }
--- a/crates/testkit/src/standin/behaviour.rs
+++ b/crates/testkit/src/standin/behaviour.rs
@@ -28,6 +28,9 @@
     pub warm_after: Option<time::Duration>,
     /// Time for which a cold server is stuck after it got more than its cold slots.
     pub collapse_time: time::Duration,
+    /// Time between renewals. By default it is shorter than the answer to an announcement asks
+    /// for, so that tests are quick.
+    pub renew_time: time::Duration,
     /// What announcements show.
     pub announces: Shown,
     /// What the `nutmegdale-load` header shows.
@@ -49,6 +52,7 @@
             warm_after_count: None,
             warm_after: None,
             collapse_time: time::Duration::from_secs(2),
+            renew_time: time::Duration::from_millis(500),
             announces: Shown::Truth,
             reports: Shown::Truth,
             keeps_executions: true,
