Count instructions per call with callgrind

Times on the shared machine vary from run to run; instruction counts repeat, so rounds on the path of a request can be compared by them.

--- a/crates/testkit/src/bin/load/main.rs
+++ b/crates/testkit/src/bin/load/main.rs
@@ -3,11 +3,11 @@
 //! The ways alternate within one run, so that noise of the machine meets all of them alike. See
 //! [docs/measurements.md](../../../../../docs/measurements.md).
 
+mod instructions;
 mod setup;
 mod table;
 
 use nutmegdale_testkit::{load, machine};
-use std::env;
 use std::path;
 use std::time;
 
@@ -21,6 +21,14 @@
     #[argh(option)]
     daemon: Vec<path::PathBuf>,
 
+    /// program of the bare relay
+    #[argh(option)]
+    relay: Option<path::PathBuf>,
+
+    /// count instructions; folder of the output of callgrind, which all programs run under
+    #[argh(option)]
+    callgrind: Option<path::PathBuf>,
+
     /// calls per second; 0 keeps every connection busy
     #[argh(option, default = "7800.0")]
     rate: f64,
@@ -61,8 +69,7 @@
 fn main() {
     let mut args: Args = argh::from_env();
     if args.daemon.is_empty() {
-        let own = env::current_exe().expect("own program is known");
-        args.daemon.push(own.with_file_name("nutmegdale"));
+        args.daemon.push(setup::program("nutmegdale"));
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(1)
@@ -74,7 +81,13 @@
         services: args.services,
         bytes: args.bytes,
     };
-    let setup = runtime.block_on(setup::Setup::start(&args.daemon, size));
+    let relay = args.relay.clone();
+    let relay = relay.unwrap_or_else(|| setup::program("relay"));
+    let setup = runtime.block_on(setup::Setup::start(&args.daemon, &relay, size));
+    if let Some(folder) = &args.callgrind {
+        runtime.block_on(instructions::print(&setup, folder));
+        return;
+    }
     if args.idle > 0 {
         runtime.block_on(print_memory(&setup, args.idle));
         return;
--- a/crates/testkit/src/bin/load/setup.rs
+++ b/crates/testkit/src/bin/load/setup.rs
@@ -14,14 +14,18 @@
     region: "north",
 };
 
+/// Returns a program beside this one.
+pub(crate) fn program(name: &str) -> path::PathBuf {
+    let own = env::current_exe().expect("own program is known");
+    own.with_file_name(name)
+}
+
 /// Child process that is killed when dropped.
 pub(crate) struct Child(process::Child);
 
 impl Child {
-    fn start(program: &str, args: &[String]) -> Child {
-        let folder = env::current_exe().expect("own program is known");
-        let program = folder.with_file_name(program);
-        let child = process::Command::new(&program)
+    fn start(program: &path::Path, args: &[String]) -> Child {
+        let child = process::Command::new(program)
             .args(args)
             .stdin(process::Stdio::piped())
             .spawn();
@@ -67,7 +71,7 @@
 
 impl Setup {
     /// Starts stand-ins, the bare relay and a cluster for each daemon.
-    pub(crate) async fn start(daemons: &[path::PathBuf], size: Size) -> Setup {
+    pub(crate) async fn start(daemons: &[path::PathBuf], relay: &path::Path, size: Size) -> Setup {
         let mut setup = Setup {
             ways: Vec::new(),
             _clusters: Vec::new(),
@@ -87,7 +91,7 @@
             let entry = cluster.entry[0].entry();
             wait_ready(entry, size).await;
             if number == 0 {
-                setup.add_direct_and_relay(first, size);
+                setup.add_direct_and_relay(relay, first, size).await;
             }
             setup.ways.push(Way {
                 name: format!("nutmegdale {number}"),
@@ -115,17 +119,27 @@
             .into_iter()
             .flat_map(|(name, value)| [name.to_owned(), value])
             .collect();
-        self._children.push(Child::start("standin", &args));
+        self._children
+            .push(Child::start(&program("standin"), &args));
     }
 
-    fn add_direct_and_relay(&mut self, first: net::SocketAddr, size: Size) {
+    async fn add_direct_and_relay(
+        &mut self,
+        relay: &path::Path,
+        first: net::SocketAddr,
+        size: Size,
+    ) {
         let servers: Vec<net::SocketAddr> = (0..size.servers)
             .map(|n| (first.ip(), first.port() + n).into())
             .collect();
         let list: Vec<String> = servers.iter().map(ToString::to_string).collect();
         let listen = addresses::Addresses::reserve().next_address();
         let args = ["--listen", &listen.to_string(), "--to", &list.join(",")];
-        let relay = Child::start("relay", &args.map(ToOwned::to_owned));
+        let relay = Child::start(relay, &args.map(ToOwned::to_owned));
+        cluster::eventually(READY, "the relay listens", || async {
+            http::Connection::open(listen).await.ok()
+        })
+        .await;
         self.ways.push(Way {
             name: "direct".to_owned(),
             target: target(servers, size),
