Read and write header names without parsing them on each request

Profile: header names given as text are parsed at each lookup and insertion, the twelve lookups of hop headers, the lower-case copy of the path and the formatted request id together cost a third of what the proxy does. Names are statics now, hop headers are searched in one pass, and the path is checked in place.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -3,11 +3,12 @@
 //! Invariant: a request is sent only with a [`permit::Permit`] for the server's region, and an
 //! attempt is `NotRun` only if no byte of it was written or the server stated that it did not run.
 
+use crate::head;
 use crate::pool;
 use crate::snapshot;
 use bytes::Bytes;
 use hyper::body;
-use nutmegdale_base::{entity, header, outcome};
+use nutmegdale_base::{entity, outcome};
 use nutmegdale_routing::permit;
 use nutmegdale_rpc::listen;
 use std::pin;
@@ -74,7 +75,7 @@
     };
     let is_refused = response
         .headers()
-        .get(header::REFUSED)
+        .get(&head::REFUSED)
         .is_some_and(|v| v == "not-run");
     if is_refused {
         return Attempt::NotRun(outcome::Reason::ServerRefused, None);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! [docs/design.md](../../../docs/design.md), sections 6 and 8.
 
 pub mod forward;
+pub mod head;
 pub mod pool;
 pub mod proxy;
 pub mod reserved;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -1,12 +1,12 @@
 //! The path of a request, from its head to its outcome.
 
 use crate::forward;
+use crate::head;
 use crate::reserved;
 use crate::response;
 use crate::snapshot;
 use http_body_util::BodyExt;
 use hyper::body;
-use hyper::header as http;
 use nutmegdale_base::{class, clock, entity, header, outcome, rng};
 use nutmegdale_choice::policy;
 use nutmegdale_rpc::listen;
@@ -18,16 +18,6 @@
 /// Servers that one idempotent request is sent to at most.
 const ATTEMPTS_MAX_COUNT: usize = 3;
 
-/// Headers that concern one connection and are not passed on.
-const HOP_HEADERS: [http::HeaderName; 6] = [
-    http::CONNECTION,
-    http::PROXY_AUTHENTICATE,
-    http::PROXY_AUTHORIZATION,
-    http::TE,
-    http::TRAILER,
-    http::UPGRADE,
-];
-
 thread_local! {
     static CONTEXT: cell::RefCell<policy::Context> =
         cell::RefCell::new(policy::Context { rng: Box::new(rng::SplitMix64::new(thread_seed())) });
@@ -112,7 +102,7 @@
         self.prepare(&mut req);
         match self.forward(&snapshot, &checked, req).await {
             Ok(mut answer) => {
-                strip_hop_headers(answer.headers_mut());
+                head::strip_hop_headers(answer.headers_mut());
                 let outcome = outcome::Outcome::Answered;
                 response::set_outcome(answer.headers_mut(), outcome, version);
                 answer
@@ -141,7 +131,7 @@
             return Err(Refused(Reason::ZoneOut, "use another address"));
         }
         let path = req.uri().path();
-        if !is_plain_path(path) {
+        if !head::is_plain_path(path) {
             return Err(Refused(
                 Reason::BadRequest,
                 "the path has dot or encoded segments",
@@ -152,7 +142,7 @@
             .ok_or(Refused(Reason::NoRoute, "no route matches"))?;
         let account = req
             .headers()
-            .get(header::ACCOUNT)
+            .get(&head::ACCOUNT)
             .and_then(|value| value.to_str().ok());
         let account = account.and_then(|name| view.find_account(name));
         let account = account.ok_or(Refused(Reason::Account, "the account is not known"))?;
@@ -188,12 +178,11 @@
     }
 
     fn prepare(&self, req: &mut hyper::Request<listen::Body>) {
-        strip_hop_headers(req.headers_mut());
+        head::strip_hop_headers(req.headers_mut());
         let number = self.next_request.fetch_add(1, atomic::Ordering::Relaxed);
-        let id = format!("{:016x}-{number:x}", self.boot);
-        let id = http::HeaderValue::from_str(&id).expect("hexadecimal digits");
-        req.headers_mut().insert(header::REQUEST_ID, id);
-        use_origin_form(req);
+        let id = head::request_id(self.boot, number);
+        req.headers_mut().insert(&head::REQUEST_ID, id);
+        head::use_origin_form(req);
         *req.version_mut() = hyper::Version::HTTP_11;
     }
 
@@ -250,33 +239,3 @@
         CONTEXT.with_borrow_mut(|cx| self.policy.choose(cx, candidates, view))
     }
 }
-
-/// Rewrites the target to a path with a `Host` header; HTTP/2 requests have the authority in the
-/// target instead.
-fn use_origin_form(req: &mut hyper::Request<listen::Body>) {
-    if let Some(authority) = req.uri().authority()
-        && !req.headers().contains_key(http::HOST)
-        && let Ok(host) = http::HeaderValue::from_str(authority.as_str())
-    {
-        req.headers_mut().insert(http::HOST, host);
-    }
-    let target = req.uri().path_and_query().cloned();
-    *req.uri_mut() = target.map_or_else(hyper::Uri::default, hyper::Uri::from);
-}
-
-fn strip_hop_headers(headers: &mut http::HeaderMap) {
-    for name in &HOP_HEADERS {
-        headers.remove(name);
-    }
-}
-
-/// Returns whether a path means the same to every reader: a server that decodes or resolves
-/// segments must not see another route than this process matched.
-fn is_plain_path(path: &str) -> bool {
-    let lower = path.to_ascii_lowercase();
-    let has_encoded = lower.contains("%2e") || lower.contains("%2f") || lower.contains("%5c");
-    !has_encoded
-        && path
-            .split('/')
-            .all(|segment| segment != "." && segment != "..")
-}
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -1,7 +1,7 @@
 //! Answers that an entry VM makes itself, and the outcome headers of every answer.
 
+use crate::head;
 use hyper::header;
-use nutmegdale_base::header as names;
 use nutmegdale_base::outcome;
 use nutmegdale_catalogue::config;
 use nutmegdale_rpc::listen;
@@ -21,13 +21,13 @@
     version: config::Version,
 ) {
     headers.insert(
-        names::OUTCOME,
+        &head::OUTCOME,
         header::HeaderValue::from_static(outcome.name()),
     );
-    headers.insert(names::VERSION, header::HeaderValue::from(version.0));
+    headers.insert(&head::VERSION, header::HeaderValue::from(version.0));
     if let Some(reason) = outcome.reason() {
         headers.insert(
-            names::REASON,
+            &head::REASON,
             header::HeaderValue::from_static(reason.name()),
         );
     }
--- /dev/null
+++ b/crates/entry/tests/head.rs
@@ -0,0 +1,84 @@
+//! Guards the heads that are passed on: a header of one connection that reaches a server, or a path
+//! that a server reads as another route's, would let a caller smuggle a request past the checks.
+
+use hyper::header as http;
+use nutmegdale_entry::head;
+
+fn stripped(pairs: &[(&'static str, &'static str)]) -> Vec<String> {
+    let mut headers = http::HeaderMap::new();
+    for (name, value) in pairs {
+        headers.append(
+            http::HeaderName::from_static(name),
+            http::HeaderValue::from_static(value),
+        );
+    }
+    head::strip_hop_headers(&mut headers);
+    let mut names: Vec<_> = headers.keys().map(ToString::to_string).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn headers_of_one_connection_are_not_passed_on() {
+    let names = stripped(&[
+        ("connection", "close, x-internal"),
+        ("x-internal", "1"),
+        ("keep-alive", "timeout=5"),
+        ("proxy-connection", "keep-alive"),
+        ("te", "trailers"),
+        ("accept", "*/*"),
+    ]);
+    assert_eq!(names, ["accept"]);
+}
+
+#[test]
+fn connection_header_cannot_remove_framing_account_or_key() {
+    let kept = [
+        ("content-length", "3"),
+        ("host", "registry"),
+        ("idempotency-key", "k"),
+        ("nutmegdale-account", "inspector"),
+    ];
+    let mut pairs = kept.to_vec();
+    pairs.push((
+        "connection",
+        "content-length, host, nutmegdale-account, idempotency-key",
+    ));
+    assert_eq!(stripped(&pairs), kept.map(|(name, _)| name.to_owned()));
+}
+
+#[test]
+fn paths_with_two_meanings_are_refused() {
+    for path in [
+        "/logs/../admin",
+        "/logs/./x",
+        "/logs/%2e%2e/admin",
+        "/logs/%2E./admin",
+        "/logs%2Fadmin",
+        "/logs%2fadmin",
+        "/logs%5cadmin",
+        "/logs\\admin",
+        "*",
+        "",
+    ] {
+        assert!(!head::is_plain_path(path), "{path}");
+    }
+    for path in [
+        "/",
+        "/logs/hall-7",
+        "/logs/a%20b",
+        "/logs/..x",
+        "/logs/%25",
+        "/%",
+    ] {
+        assert!(head::is_plain_path(path), "{path}");
+    }
+}
+
+#[test]
+fn request_ids_differ_by_start_and_number() {
+    let id = head::request_id(0xab, 0x10);
+    assert_eq!(id, "00000000000000ab-0000000000000010");
+    assert_ne!(id, head::request_id(0xab, 0x11));
+    assert_ne!(id, head::request_id(0xac, 0x10));
+}
