--- /dev/null
+++ b/crates/storage/src/disk.rs
@@ -0,0 +1,174 @@
+//! File operations that the log needs, all in one folder.
+
+use std::fs;
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path;
+
+/// Open file.
+pub trait DiskFile: Send {
+    /// Writes all of `buf` at `offset`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system; part of `buf` may have been written.
+    fn write_at(&mut self, offset: u64, buf: &[u8]) -> io::Result<()>;
+
+    /// Cuts the file to `len` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn truncate(&mut self, len: u64) -> io::Result<()>;
+
+    /// Makes the content durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system. The content may then be lost although a later
+    /// sync succeeds, so the error is final for the caller.
+    fn sync(&mut self) -> io::Result<()>;
+}
+
+/// Folder of files.
+pub trait Disk: Send {
+    /// Returns the names of all files.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system, as all other operations do.
+    fn list(&self) -> io::Result<Vec<String>>;
+    /// Reads a whole file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// Opens a file for writing and creates it if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn open(&self, name: &str) -> io::Result<Box<dyn DiskFile>>;
+    /// Renames a file over another one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn remove(&self, name: &str) -> io::Result<()>;
+    /// Makes created, renamed and removed names durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    fn sync_folder(&self) -> io::Result<()>;
+}
+
+/// Name of the file whose lock keeps a second process out of the folder.
+const LOCK: &str = "lock";
+
+/// Folder of the file system, locked against other processes.
+#[derive(Debug)]
+pub struct FolderDisk {
+    folder: path::PathBuf,
+    _lock: fs::File,
+}
+
+impl FolderDisk {
+    /// Opens a folder and creates it if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be created or another process holds it.
+    pub fn open(folder: &path::Path) -> io::Result<FolderDisk> {
+        create_folder(folder)?;
+        let lock = fs::File::create(folder.join(LOCK))?;
+        lock.try_lock().map_err(|err| {
+            let text = format!("folder {} is in use: {err}", folder.display());
+            io::Error::new(io::ErrorKind::WouldBlock, text)
+        })?;
+        Ok(FolderDisk {
+            folder: folder.to_owned(),
+            _lock: lock,
+        })
+    }
+}
+
+/// Creates a folder and makes its name, and those of the folders above it, durable.
+fn create_folder(folder: &path::Path) -> io::Result<()> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    let parent = folder.parent().filter(|p| !p.as_os_str().is_empty());
+    if let Some(parent) = parent {
+        create_folder(parent)?;
+    }
+    match fs::create_dir(folder) {
+        Err(err) if err.kind() != io::ErrorKind::AlreadyExists => return Err(err),
+        _ => {}
+    }
+    fs::File::open(parent.unwrap_or(path::Path::new(".")))?.sync_all()
+}
+
+impl Disk for FolderDisk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.folder)? {
+            let entry = entry?;
+            let name = entry.file_name().to_string_lossy().into_owned();
+            if entry.file_type()?.is_file() && name != LOCK {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.folder.join(name))
+    }
+
+    fn open(&self, name: &str) -> io::Result<Box<dyn DiskFile>> {
+        let mut options = fs::OpenOptions::new();
+        let options = options.write(true).create(true).truncate(false);
+        let file = options.open(self.folder.join(name))?;
+        Ok(Box::new(FolderFile { file }))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.folder.join(from), self.folder.join(to))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.folder.join(name))
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        fs::File::open(&self.folder)?.sync_all()
+    }
+}
+
+#[derive(Debug)]
+struct FolderFile {
+    file: fs::File,
+}
+
+impl DiskFile for FolderFile {
+    fn write_at(&mut self, offset: u64, buf: &[u8]) -> io::Result<()> {
+        self.file.write_all_at(buf, offset)
+    }
+
+    fn truncate(&mut self, len: u64) -> io::Result<()> {
+        self.file.set_len(len)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.file.sync_data()
+    }
+}
