--- a/crates/replica/src/single.rs
+++ b/crates/replica/src/single.rs
@@ -2,12 +2,13 @@
 
 use crate::handle;
 use crate::machine;
+use nutmegdale_consensus::{status, types};
 use std::io;
+use std::sync;
+use std::sync::mpsc;
 use std::thread;
-use tokio::sync::mpsc;
+use tokio::sync::watch;
 
-/// Commands that may wait for the group's thread.
-const QUEUE_MAX_COUNT: usize = 1_024;
 /// Term of a group that never elects.
 const ONLY_TERM: u64 = 1;
 
@@ -17,10 +18,14 @@
 ///
 /// Returns the error of the operating system if no thread can be started.
 pub fn start(mut machine: Box<dyn machine::StateMachine>) -> io::Result<handle::Handle> {
-    let (tx, mut rx) = mpsc::channel(QUEUE_MAX_COUNT);
+    let (tx, rx) = mpsc::channel();
+    let gates = handle::Gates::new();
+    let (status_tx, status_rx) = watch::channel(sync::Arc::new(status()));
+    let handle = handle::Handle::new(tx, sync::Arc::clone(&gates), status_rx);
     let body = move || {
         let mut index = 0;
-        while let Some(req) = rx.blocking_recv() {
+        while let Ok(req) = rx.recv() {
+            gates.leave(&req);
             match req {
                 handle::Request::Propose { cmd, reply } => {
                     index += 1;
@@ -30,11 +35,30 @@
                     drop(reply.send(Ok(buf)));
                 }
                 handle::Request::Confirm { reply } => drop(reply.send(Ok(ONLY_TERM))),
+                handle::Request::Stop { .. } => break,
+                _ => {}
             }
         }
+        drop(status_tx);
     };
     thread::Builder::new()
         .name("group".to_owned())
         .spawn(body)?;
-    Ok(handle::Handle::new(tx))
+    Ok(handle)
+}
+
+fn status() -> status::Status {
+    status::Status {
+        group: "single".to_owned(),
+        id: types::ReplicaId(1),
+        role: status::Role::Leader,
+        term: types::Term(ONLY_TERM),
+        leader: Some(types::ReplicaId(1)),
+        commit: types::Index(0),
+        applied: types::Index(0),
+        last: types::Index(0),
+        members: types::MemberSet::default(),
+        progress: Vec::new(),
+        is_repaired: Some(true),
+    }
 }
