Start durable replicated groups in the control processes

Cause: groups::start kept the catalogue in the memory of one process; a restart lost every accepted change and a second control process had a catalogue of its own. Ruled out: bootstrap from the settings alone. A wiped group of one, or one whose members were all replaced, would come up empty and grant one-time requests again. Change: groups::Host shares transport, clock and folder between the groups of a process; the call 'raft' carries batches of encoded envelopes; founding, group-status and group-change are calls between control processes. Command: cargo test -p nutmegdale-daemon

--- a/crates/consensus/src/input.rs
+++ b/crates/consensus/src/input.rs
@@ -17,7 +17,12 @@
     /// Change of the members.
     Change(MemberChange),
     /// First members of a new group, for a replica that holds nothing yet.
-    Found(&'a types::MemberSet),
+    Found {
+        /// The members.
+        set: &'a types::MemberSet,
+        /// Whether all others know the members already, so that an election need not wait.
+        is_last: bool,
+    },
     /// Snapshot that the driver made durable, so that the entries it covers may be dropped.
     Compact(types::Snapshot),
     /// Hands the lead to the follower that holds most, before a graceful stop.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -111,7 +111,7 @@
             input::Input::Propose(cmd) => self.propose(cmd, actions),
             input::Input::Read(number) => self.read(number),
             input::Input::Change(change) => self.change(change, actions),
-            input::Input::Found(set) => self.found(set, actions),
+            input::Input::Found { set, is_last } => self.found(set, is_last, actions),
             input::Input::Compact(snapshot) => {
                 self.compact(snapshot);
                 input::Answer::Done
@@ -138,7 +138,12 @@
         }
     }
 
-    fn found(&mut self, set: &types::MemberSet, actions: &mut actions::Actions) -> input::Answer {
+    fn found(
+        &mut self,
+        set: &types::MemberSet,
+        is_last: bool,
+        actions: &mut actions::Actions,
+    ) -> input::Answer {
         let is_blank = self.is_blank() && self.log.last() == types::Index(0);
         if !is_blank || self.hard != types::HardState::default() {
             return input::Answer::Refused(input::Refusal::NotBlank);
@@ -155,6 +160,9 @@
         };
         self.append(entry, actions);
         self.settle();
+        if is_last {
+            self.deadline = self.now;
+        }
         input::Answer::Done
     }
 
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -1,26 +1,286 @@
 //! Starts the replicated groups of a control process.
+//!
+//! A group is bootstrapped once, and only by replicas whose folders an operator prepared with
+//! [`prepare`]; see [docs/replication.md](../../../docs/replication.md).
 
-use nutmegdale_replica::{handle, machine, single};
+use crate::{founding, peers};
+use bytes::Bytes;
+use nutmegdale_base::{clock, rng};
+use nutmegdale_consensus::{status, types};
+use nutmegdale_replica::{driver, handle, machine};
+use nutmegdale_rpc::{client, message, server};
 use nutmegdale_settings::model;
+use nutmegdale_storage::{disk, store};
+use nutmegdale_telemetry::clock as telemetry_clock;
+use std::collections;
 use std::io;
+use std::net;
+use std::path;
+use std::sync;
 
 /// Name of the group that replicates the catalogue.
 pub const CATALOGUE: &str = "catalogue";
 
+/// Longest time of a question to another control process.
+pub(crate) const QUERY_MS: clock::Millis = clock::Millis(1_000);
+
 /// Returns the name of the group that keeps the record of one-time requests of a region.
 pub fn ledger_group(region: &str) -> String {
     format!("ledger-{region}")
 }
 
-/// Starts this process's replica of the group `name` among `members`.
+/// What the groups of a process share.
+#[allow(missing_debug_implementations)] // Holds a trait object.
+pub struct Host {
+    name: String,
+    region: String,
+    address: net::SocketAddr,
+    data: path::PathBuf,
+    clock: sync::Arc<dyn clock::Clock>,
+    log: slog::Logger,
+    peers: sync::Arc<peers::Peers>,
+    pub(crate) client: sync::Arc<client::Client>,
+    groups: sync::RwLock<collections::BTreeMap<String, Group>>,
+}
+
+#[derive(Debug, Clone)]
+struct Group {
+    handle: handle::Handle,
+    identity: store::Identity,
+    listed: Vec<String>,
+}
+
+impl Host {
+    /// Creates the host of a process. Must run inside the runtime.
+    pub fn new(
+        process: &model::Process,
+        control: &model::Control,
+        clock: sync::Arc<dyn clock::Clock>,
+        log: slog::Logger,
+    ) -> sync::Arc<Host> {
+        let client = sync::Arc::new(client::Client::new(&process.cluster_token));
+        let own = control.listen;
+        sync::Arc::new(Host {
+            name: process.name.clone(),
+            region: process.region.clone(),
+            address: own,
+            data: control.data.clone(),
+            clock,
+            log,
+            peers: sync::Arc::new(peers::Peers::new(own, sync::Arc::clone(&client))),
+            client,
+            groups: sync::RwLock::default(),
+        })
+    }
+
+    fn group(&self, name: &str) -> Option<Group> {
+        let groups = self.groups.read();
+        let groups = groups.unwrap_or_else(sync::PoisonError::into_inner);
+        groups.get(name).cloned()
+    }
+
+    pub(crate) fn log(&self) -> &slog::Logger {
+        &self.log
+    }
+
+    pub(crate) fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    pub(crate) fn own_member(&self, group: &str) -> Option<types::Member> {
+        self.group(group).map(|g| self.answer(&g).member)
+    }
+
+    /// Returns the status of this process's replica of a group.
+    pub fn status(&self, group: &str) -> Option<sync::Arc<status::Status>> {
+        self.group(group).map(|g| g.handle.status())
+    }
+
+    /// Returns access to this process's replica of a group.
+    pub fn handle(&self, group: &str) -> Option<handle::Handle> {
+        self.group(group).map(|g| g.handle)
+    }
+
+    pub(crate) async fn query(
+        &self,
+        group: &str,
+        address: net::SocketAddr,
+    ) -> nutmegdale_rpc::error::Result<message::GroupAnswer> {
+        let query = message::GroupQuery {
+            group: group.to_owned(),
+        };
+        self.client
+            .call(address, "group-query", &query, QUERY_MS)
+            .await
+    }
+
+    /// Answers the calls of other control processes; `None` for other names.
+    pub fn call(self: &sync::Arc<Host>, name: &str, body: Bytes) -> Option<server::ReplyFuture> {
+        let host = sync::Arc::clone(self);
+        match name {
+            "raft" => {
+                let reply = server::decode(&body).and_then(|batch| {
+                    host.deliver(&batch)?;
+                    server::encode(&())
+                });
+                Some(Box::pin(std::future::ready(reply)))
+            }
+            "group-query" => {
+                let reply = server::decode(&body).and_then(|query: message::GroupQuery| {
+                    let found = host.group(&query.group).ok_or_else(no_group)?;
+                    server::encode(&host.answer(&found))
+                });
+                Some(Box::pin(std::future::ready(reply)))
+            }
+            "group-status" => {
+                let reply = server::decode(&body).and_then(|query: message::GroupQuery| {
+                    let status = host.status(&query.group).ok_or_else(no_group)?;
+                    server::encode(status.as_ref())
+                });
+                Some(Box::pin(std::future::ready(reply)))
+            }
+            "group-change" => Some(Box::pin(async move {
+                let req: message::MemberChangeRequest = server::decode(&body)?;
+                server::encode(&host.change(&req.group, req.change).await)
+            })),
+            "group-found" => Some(Box::pin(async move {
+                let req: message::FoundRequest = server::decode(&body)?;
+                let found = host.group(&req.group).ok_or_else(no_group)?;
+                let founded = founding::accept(&found.handle, &found.listed, req.members);
+                let refused = |text| (hyper::StatusCode::CONFLICT, text);
+                founded.await.map_err(refused)?;
+                server::encode(&())
+            })),
+            _ => None,
+        }
+    }
+
+    fn deliver(&self, batch: &message::RaftBatch) -> Result<(), (hyper::StatusCode, String)> {
+        let mut by_group: collections::BTreeMap<String, (Vec<types::Envelope>, usize)> =
+            collections::BTreeMap::new();
+        for body in &batch.envelopes {
+            let env: types::Envelope = server::decode(body)?;
+            self.peers.heard(env.from, batch.sender);
+            let (envelopes, size_bytes) = by_group.entry(env.group.clone()).or_default();
+            envelopes.push(env);
+            *size_bytes += body.len();
+        }
+        for (name, (envelopes, size_bytes)) in by_group {
+            if let Some(group) = self.group(&name) {
+                group.handle.deliver(envelopes, size_bytes);
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(&self, group: &Group) -> message::GroupAnswer {
+        let member = types::Member {
+            id: types::ReplicaId(group.identity.id),
+            name: self.name.clone(),
+            region: self.region.clone(),
+            address: self.address,
+            is_voter: true,
+        };
+        message::GroupAnswer {
+            member,
+            is_prepared: group.identity.is_prepared,
+            members: group.handle.status().members.clone(),
+            listed: group.listed.clone(),
+        }
+    }
+
+    /// Hands over every lead and stops every group.
+    pub async fn stop(&self) {
+        let groups = self.groups.read();
+        let groups = groups.unwrap_or_else(sync::PoisonError::into_inner).clone();
+        for group in groups.values() {
+            group.handle.stop().await;
+        }
+    }
+}
+
+fn no_group() -> (hyper::StatusCode, String) {
+    (
+        hyper::StatusCode::NOT_FOUND,
+        "no such group here".to_owned(),
+    )
+}
+
+/// Returns a random identity for a new folder.
+fn new_identity(is_prepared: bool) -> store::Identity {
+    store::Identity {
+        id: telemetry_clock::boot_id(),
+        is_prepared,
+    }
+}
+
+fn open_disk(data: &path::Path, group: &str) -> io::Result<disk::FolderDisk> {
+    disk::FolderDisk::open(&data.join(group))
+}
+
+/// Starts this process's replica of the group `name`, which is bootstrapped by `members`.
 ///
 /// # Errors
 ///
-/// Returns the error of the operating system if the group's thread cannot be started.
+/// Fails if the folder of the group is damaged, in use or cannot be read, or if the group's thread
+/// cannot be started.
 pub fn start(
-    _name: &str,
-    _members: &[model::Member],
+    host: &sync::Arc<Host>,
+    name: &str,
+    members: &[model::Member],
     machine: Box<dyn machine::StateMachine>,
 ) -> io::Result<handle::Handle> {
-    single::start(machine)
+    let cfg = driver::Config::new(name, new_identity(false));
+    let parts = driver::Parts {
+        machine,
+        transport: sync::Arc::clone(&host.peers)
+            as sync::Arc<dyn nutmegdale_replica::transport::Transport>,
+        clock: sync::Arc::clone(&host.clock),
+        rng: Box::new(rng::SplitMix64::new(telemetry_clock::boot_id())),
+        disk: Box::new(open_disk(&host.data, name)?),
+        log: host.log.clone(),
+    };
+    let started = driver::start(cfg, parts);
+    let started = started.map_err(|err| io::Error::other(format!("group {name}: {err}")))?;
+    slog::info!(host.log, "replica started"; "group" => name,
+        "replica" => %types::ReplicaId(started.identity.id));
+    let group = Group {
+        handle: started.handle.clone(),
+        identity: started.identity,
+        listed: members.iter().map(founding::listed).collect(),
+    };
+    let mut groups = host.groups.write();
+    let groups = groups.as_deref_mut();
+    let groups = groups.map_err(|_| io::Error::other("an earlier start of a group failed"))?;
+    groups.insert(name.to_owned(), group);
+    founding::begin(host, name, members, &started);
+    Ok(started.handle)
+}
+
+/// Prepares the data folder of a process for the first bootstrap of its groups. Running it again
+/// before the bootstrap changes nothing.
+///
+/// # Errors
+///
+/// Fails if a folder holds a replica that belongs to a group or was not prepared.
+pub fn prepare(process: &model::Process, control: &model::Control) -> io::Result<()> {
+    for name in [CATALOGUE.to_owned(), ledger_group(&process.region)] {
+        let disk = Box::new(open_disk(&control.data, &name)?);
+        let limits = store::Limits::default();
+        let failed = |err| io::Error::other(format!("group {name}: {err}"));
+        match store::Store::open(disk, limits).map_err(failed)? {
+            store::Opened::Blank(disk) => {
+                store::Store::create(disk, limits, new_identity(true)).map_err(failed)?;
+            }
+            store::Opened::Replica(store, recovered) => {
+                let is_used = recovered.hard_state != store::HardState::default()
+                    || !recovered.entries.is_empty();
+                if is_used || !store.identity().is_prepared {
+                    let text = format!("group {name}: the data folder holds a replica already");
+                    return Err(io::Error::other(text));
+                }
+            }
+        }
+    }
+    Ok(())
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,9 @@
 
 pub mod admin;
 pub mod catalogue;
+mod founding;
 pub mod groups;
 pub mod hub;
+mod members;
+pub mod peers;
 pub mod service;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -26,10 +26,13 @@
 ) -> io::Result<()> {
     let published = catalogue::Published::new();
     let machine = catalogue::Machine::new(sync::Arc::clone(&published));
-    let group = groups::start(groups::CATALOGUE, &control.members, Box::new(machine))?;
+    let host = groups::Host::new(process, control, sync::Arc::clone(&clock), log.clone());
+    let members = &control.members;
+    let group = groups::start(&host, groups::CATALOGUE, members, Box::new(machine))?;
     let hub = hub::Hub::new(clock, group.clone(), sync::Arc::clone(&published));
     let calls = sync::Arc::new(Calls {
         hub: sync::Arc::new(hub),
+        host: sync::Arc::clone(&host),
     });
     let peers = sync::Arc::new(server::CallService::new(&process.cluster_token, calls));
     let operators = sync::Arc::new(admin::Admin::new(&control.operators, group, published));
@@ -37,15 +40,26 @@
     let admin_listener = listen::bind(control.admin).await?;
     slog::info!(log, "control role started"; "listen" => %control.listen, "admin" => %control.admin);
     let bounds = listen::Bounds::default();
+    // The groups stop first: handing over the lead needs the listener for the other replicas.
+    let (groups_stopped_tx, groups_stopped) = watch::channel(false);
+    let stopping = async {
+        let mut stop = stop.clone();
+        // An error means that the sender is gone, which is a stop too.
+        drop(stop.wait_for(|is_stopping| *is_stopping).await);
+        host.stop().await;
+        groups_stopped_tx.send_replace(true);
+    };
     tokio::join!(
-        listen::serve(peer_listener, peers, bounds, stop.clone(), DRAIN_MS),
-        listen::serve(admin_listener, operators, bounds, stop, DRAIN_MS),
+        stopping,
+        listen::serve(peer_listener, peers, bounds, groups_stopped, DRAIN_MS),
+        listen::serve(admin_listener, operators, bounds, stop.clone(), DRAIN_MS),
     );
     Ok(())
 }
 
 struct Calls {
     hub: sync::Arc<hub::Hub>,
+    host: sync::Arc<groups::Host>,
 }
 
 impl server::Handler for Calls {
@@ -58,7 +72,7 @@
                     server::encode(&hub.sync(&req).await)
                 }))
             }
-            _ => None,
+            other => self.host.call(other, body),
         }
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -22,6 +22,11 @@
     #[argh(switch)]
     check: bool,
 
+    /// prepare the data folder of a control process for the first start of its groups and exit;
+    /// only for a system that never ran before, not for a replaced disk
+    #[argh(switch)]
+    init: bool,
+
     /// settings file (INI)
     #[argh(positional)]
     settings: path::PathBuf,
@@ -37,7 +42,11 @@
         println!("{}: settings are valid", args.settings.display());
         return process::ExitCode::SUCCESS;
     }
-    match start(&settings) {
+    let done = match args.init {
+        true => init(&settings),
+        false => start(&settings),
+    };
+    match done {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("nutmegdale: {err}");
@@ -59,6 +68,13 @@
     })
 }
 
+fn init(settings: &model::Settings) -> io::Result<()> {
+    let Some(control) = &settings.control else {
+        return Err(io::Error::other("--init is for control processes"));
+    };
+    nutmegdale_control::groups::prepare(&settings.process, control)
+}
+
 fn start(settings: &model::Settings) -> io::Result<()> {
     let level = str::FromStr::from_str(&settings.process.log_level).unwrap_or(slog::Level::Info);
     let log = log::logger(&settings.process.name, level);
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -255,8 +255,13 @@
                 self.wait_for(answer, Pending::Change(reply));
             }
             handle::Request::Confirm { reply } => self.read(reply),
-            handle::Request::Found { set, reply } => {
-                let answer = match self.step(input::Input::Found(&set)) {
+            handle::Request::Found {
+                set,
+                is_last,
+                reply,
+            } => {
+                let input = input::Input::Found { set: &set, is_last };
+                let answer = match self.step(input) {
                     input::Answer::Refused(refusal) => Err(handle::ChangeError::Refused(refusal)),
                     _ => Ok(()),
                 };
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -69,6 +69,7 @@
     },
     Found {
         set: types::MemberSet,
+        is_last: bool,
         reply: ChangeReply,
     },
     Deliver {
@@ -162,13 +163,19 @@
             .await
     }
 
-    /// Makes this replica, which must hold nothing yet, one of the first members of a new group.
+    /// Makes this replica, which must hold nothing yet, one of the first members of a new group;
+    /// `is_last` says that all others know the members already.
     ///
     /// # Errors
     ///
     /// Refused if the replica belongs to a group already or is not listed as a voter.
-    pub async fn found(&self, set: types::MemberSet) -> Result<(), ChangeError> {
-        self.change_by(|reply| Request::Found { set, reply }).await
+    pub async fn found(&self, set: types::MemberSet, is_last: bool) -> Result<(), ChangeError> {
+        self.change_by(|reply| Request::Found {
+            set,
+            is_last,
+            reply,
+        })
+        .await
     }
 
     async fn change_by(&self, req: impl FnOnce(ChangeReply) -> Request) -> Result<(), ChangeError> {
--- a/crates/rpc/src/message.rs
+++ b/crates/rpc/src/message.rs
@@ -2,6 +2,7 @@
 
 use nutmegdale_base::clock;
 use nutmegdale_catalogue::config;
+use nutmegdale_consensus::types;
 use nutmegdale_membership::announcement;
 use nutmegdale_membership::directory;
 use nutmegdale_membership::hub;
@@ -57,3 +58,83 @@
         leader: Option<net::SocketAddr>,
     },
 }
+
+/// Messages of consensus groups from one control process to another; one way.
+#[serde_with::serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RaftBatch {
+    /// Address at which the sender takes calls.
+    pub sender: net::SocketAddr,
+    /// Encoded envelopes, in the order in which they were sent.
+    #[serde_as(as = "Vec<serde_with::Bytes>")]
+    pub envelopes: Vec<Vec<u8>>,
+}
+
+/// Asks a control process who its replica of a group is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupQuery {
+    /// Name of the group.
+    pub group: String,
+}
+
+/// Who a replica is, before it is known as a member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupAnswer {
+    /// The replica as a member.
+    pub member: types::Member,
+    /// Whether an operator prepared its folder for the first bootstrap.
+    pub is_prepared: bool,
+    /// Members in force there; empty if the replica belongs to no group yet.
+    pub members: types::MemberSet,
+    /// Processes that its settings list for the group, as `NAME@REGION=ADDRESS`.
+    pub listed: Vec<String>,
+}
+
+/// Tells a replica the first members of its group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FoundRequest {
+    /// Name of the group.
+    pub group: String,
+    /// First members.
+    pub members: types::MemberSet,
+}
+
+/// Change of the members of a group, for its leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberChangeRequest {
+    /// Name of the group.
+    pub group: String,
+    /// The change.
+    pub change: MemberChange,
+}
+
+/// Change of one member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberChange {
+    /// Admits the new replica of the control process at an address as a learner.
+    Admit(net::SocketAddr),
+    /// Makes a learner that has caught up a voter, or readmits a replica that had lost state.
+    Promote(types::ReplicaId),
+    /// Removes a member.
+    Remove(types::ReplicaId),
+}
+
+/// Answer to a change of members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberChangeReply {
+    /// The change is committed.
+    Done {
+        /// The replica that was admitted, promoted or removed.
+        id: types::ReplicaId,
+    },
+    /// The process does not lead the group.
+    NotLeader {
+        /// Address of the leader, if known.
+        leader: Option<net::SocketAddr>,
+    },
+    /// The change was not made, or it is not known whether it was.
+    Failed {
+        /// Rule or error, as a sentence.
+        text: String,
+    },
+}
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -19,7 +19,7 @@
 /// Port of operators at a control process.
 const ADMIN_PORT: u16 = 18091;
 /// Secret of the processes.
-const CLUSTER_TOKEN: &str = "cluster-token-for-tests";
+pub(crate) const CLUSTER_TOKEN: &str = "cluster-token-for-tests";
 /// Token of the operator `tester`.
 const OPERATOR_TOKEN: &str = "operator-token-for-tests";
 
@@ -161,7 +161,9 @@
             writeln!(text, "data = {}\nmembers = {members}", data.display())
                 .expect("string can be written");
             writeln!(text, "operators = tester:{OPERATOR_TOKEN}").expect("string can be written");
-            let daemon = cluster.start_daemon(&name, *ip, &text);
+            let settings = cluster.write_settings(&name, &text);
+            cluster.prepare(&settings);
+            let daemon = cluster.start_daemon(&name, *ip, settings);
             cluster.control.push(daemon);
         }
         let control: Vec<String> = control_ips
@@ -177,15 +179,27 @@
             )
             .expect("string can be written");
             writeln!(text, "control = {}", control.join(", ")).expect("string can be written");
-            let daemon = cluster.start_daemon(&name, *ip, &text);
+            let settings = cluster.write_settings(&name, &text);
+            let daemon = cluster.start_daemon(&name, *ip, settings);
             cluster.entry.push(daemon);
         }
         cluster
     }
 
-    fn start_daemon(&self, name: &str, ip: net::Ipv4Addr, text: &str) -> Daemon {
+    fn write_settings(&self, name: &str, text: &str) -> path::PathBuf {
         let settings = self.folder.join(format!("{name}.ini"));
         fs::write(&settings, text).expect("settings can be written");
+        settings
+    }
+
+    /// Prepares the data folder of a control process for the first start of its groups.
+    fn prepare(&self, settings: &path::Path) {
+        let mut command = process::Command::new(&self.program);
+        let status = command.arg("--init").arg(settings).status();
+        assert!(status.is_ok_and(|s| s.success()), "data folder is prepared");
+    }
+
+    fn start_daemon(&self, name: &str, ip: net::Ipv4Addr, settings: path::PathBuf) -> Daemon {
         let mut daemon = Daemon {
             name: name.to_owned(),
             ip,
@@ -212,6 +226,13 @@
         daemon.child = Some(child);
     }
 
+    /// Removes the data folder of a control process that was killed, as a lost disk does.
+    pub fn lose_disk(&self, daemon: &Daemon) {
+        assert!(daemon.pid().is_none(), "{} still runs", daemon.name);
+        let data = self.folder.join(&daemon.name);
+        fs::remove_dir_all(data).expect("data folder can be removed");
+    }
+
     /// Returns the folder of settings, logs and data.
     pub fn folder(&self) -> &path::Path {
         &self.folder
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod addresses;
 pub mod caller;
 pub mod cluster;
+pub mod group;
 pub mod http;
 pub mod link;
 pub mod standin;
