Compare counts of entry processes with the catalogue of their version

Operators must be able to verify afterwards that the system did what the catalogue said. Rows per route and server were ruled out: 890 servers times versions do not fit into a sync. Zones are counted by class, only routes with home regions by region and only servers that are out by name.

The configuration has a digest of what requests are decided by, for copies that are updated step by step.

--- a/crates/catalogue/src/audit.rs
+++ b/crates/catalogue/src/audit.rs
@@ -5,6 +5,7 @@
 //! the same version and knows nothing of how servers are chosen.
 
 use crate::config;
+use crate::state;
 use nutmegdale_base::class;
 use serde::{Deserialize, Serialize};
 use std::collections;
@@ -181,6 +182,41 @@
     }
 }
 
+/// Comparison of every row that the leader holds with the catalogue.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Requests that rows count.
+    pub requests: u64,
+    /// Rules that requests broke.
+    pub violations: Vec<Violation>,
+    /// Rows whose version the history no longer holds; they are not judged.
+    pub unjudged_rows: u64,
+    /// Requests that no row counts.
+    pub dropped: u64,
+}
+
+/// Compares every row with the configuration of its version.
+pub fn judge(ledger: &Ledger, accepted: &state::Accepted) -> Verdict {
+    let mut verdict = Verdict {
+        dropped: ledger.dropped(),
+        ..Verdict::default()
+    };
+    let mut configs = collections::BTreeMap::new();
+    for (entry, _, key, counts) in ledger.rows() {
+        // Each request is counted by zone; the other rows repeat it.
+        if matches!(key.subject, Subject::Zone { .. }) {
+            verdict.requests += counts.total();
+        }
+        let at = |version| accepted.history.config_at(&accepted.config, version);
+        let cfg = configs.entry(key.version).or_insert_with_key(|v| at(*v));
+        match cfg {
+            Some(cfg) => verdict.violations.extend(check(entry, key, counts, cfg)),
+            None => verdict.unjudged_rows += 1,
+        }
+    }
+    verdict
+}
+
 /// Returns the rules that the requests of a row broke; `cfg` must be of the row's version.
 pub fn check(entry: &str, key: &RowKey, counts: &Counts, cfg: &config::Config) -> Vec<Violation> {
     // A request that did not run did no harm, but it must not have been sent either; a server's
--- a/crates/catalogue/src/change.rs
+++ b/crates/catalogue/src/change.rs
@@ -3,6 +3,7 @@
 use crate::config;
 use crate::spec;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// One step of a change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -127,3 +128,26 @@
         matches!(self, Answer::Accepted { .. })
     }
 }
+
+impl fmt::Display for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Answer::Accepted { version } => write!(f, "accepted as version {version}"),
+            Answer::Conflict {
+                current,
+                winner,
+                winner_author,
+            } => write!(
+                f,
+                "conflict: change {winner} of {winner_author} won; the newest version is {current}"
+            ),
+            Answer::Rejected { faults } => {
+                write!(f, "rejected")?;
+                for fault in faults {
+                    write!(f, "\n  {}: {}", fault.field, fault.rule)?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
--- a/crates/catalogue/src/config.rs
+++ b/crates/catalogue/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::spec;
 use serde::{Deserialize, Serialize};
+use sha2::Digest;
 use std::collections;
 use std::fmt;
 
@@ -46,3 +47,15 @@
     /// since another ledger group would grant a key again that the first one had granted.
     pub ledger_regions: collections::BTreeMap<String, String>,
 }
+
+impl Config {
+    /// Returns a digest of what requests are decided by, so that a copy that was updated step by
+    /// step can be compared with the original.
+    pub fn digest(&self) -> u64 {
+        let decides = (&self.routes, &self.accounts, &self.zones, &self.servers_out);
+        let encoded = serde_json::to_vec(&decides).expect("configuration can be encoded");
+        let digest: [u8; 32] = sha2::Sha256::digest(encoded).into();
+        let first = digest.first_chunk().expect("32 bytes");
+        u64::from_be_bytes(*first)
+    }
+}
--- a/crates/catalogue/tests/sessions.rs
+++ b/crates/catalogue/tests/sessions.rs
@@ -69,19 +69,7 @@
         };
         self.clock_ms += 1_000;
         let answer = self.state.apply(change.clone(), self.clock_ms);
-        let text = match &answer {
-            change::Answer::Accepted { version } => format!("accepted {version}\n"),
-            change::Answer::Conflict {
-                current,
-                winner,
-                winner_author,
-            } => format!("conflict: {winner} of {winner_author} won; newest is {current}\n"),
-            change::Answer::Rejected { faults } => {
-                faults.iter().fold("rejected\n".to_owned(), |text, f| {
-                    text + &format!("  {}: {}\n", f.field, f.rule)
-                })
-            }
-        };
+        let text = format!("{answer}\n");
         self.answered.push((change, answer));
         text
     }
--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -6,22 +6,15 @@
 use std::collections;
 
 /// Position of a copy in the hub's table.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Position {
-    /// Epoch of the hub.
-    pub epoch: u64,
-    /// Newest revision of a server that the copy holds.
-    pub servers: u64,
-    /// Newest revision of the entry list that the copy holds.
-    pub entries: u64,
-}
+pub type Position = hub::Marks;
 
 /// Part of the hub's table that a copy does not hold yet.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
     /// Position after the delta is applied.
     pub position: Position,
-    /// Whether the copy must drop what it holds first.
+    /// Whether the delta lists the whole table. What a copy holds beyond it goes as soon as the
+    /// table is complete.
     pub is_full: bool,
     /// Changed servers.
     pub servers: Vec<hub::ServerRecord>,
@@ -32,14 +25,10 @@
 impl Delta {
     /// Collects what a copy at `known` lacks.
     pub fn collect(table: &hub::HubTable, known: Position) -> Delta {
-        let is_full = known.epoch != table.epoch();
+        let position = table.marks();
+        let is_full = known.epoch != position.epoch || table.has_forgotten_after(known.servers);
         let known = if is_full { Position::default() } else { known };
-        let position = Position {
-            epoch: table.epoch(),
-            servers: table.revision(),
-            entries: table.entries_revision(),
-        };
-        let has_new_entries = is_full || known.entries < table.entries_revision();
+        let has_new_entries = is_full || known.entries < position.entries;
         Delta {
             position,
             is_full,
@@ -49,12 +38,27 @@
     }
 }
 
+/// Number of no listing; listings are counted from 1.
+const UNLISTED: u64 = 0;
+
+/// Record with the number of the full listing that named it last.
+#[derive(Debug)]
+struct Listed<T> {
+    record: T,
+    listing: u64,
+}
+
 /// Copy of the hub's table.
+///
+/// A new leader starts with an empty table. Until it says that its table is complete, the copy
+/// keeps what it held before, since dropping every server and entry process on each change of
+/// leader would interrupt service; after that it holds exactly what the hub lists.
 #[derive(Debug, Default)]
 pub struct Directory {
     position: Position,
-    servers: collections::BTreeMap<String, hub::ServerRecord>,
-    entries: Vec<hub::EntryRecord>,
+    listing: u64,
+    servers: collections::BTreeMap<String, Listed<hub::ServerRecord>>,
+    entries: collections::BTreeMap<String, Listed<hub::EntryRecord>>,
 }
 
 impl Directory {
@@ -69,48 +73,74 @@
     }
 
     /// Applies a delta and returns whether the copy changed.
-    ///
-    /// A new epoch replaces the table only once the hub has had time to hear of every server: the
-    /// copy keeps servers that a new hub does not list yet, since dropping them all on each change
-    /// of leader would interrupt service. [`Directory::retain_listed`] ends that grace.
     pub fn apply(&mut self, delta: Delta) -> bool {
-        let changed = !delta.servers.is_empty() || delta.entries.is_some();
+        let mut is_changed = !delta.servers.is_empty();
+        let becomes_complete = delta.position.is_complete && !self.position.is_complete;
         self.position = delta.position;
+        if delta.is_full {
+            self.listing += 1;
+        }
         for record in delta.servers {
             self.apply_record(record);
         }
         if let Some(entries) = delta.entries {
-            self.entries = entries;
+            is_changed |= self.apply_entries(entries);
         }
-        changed
+        if self.position.is_complete && (becomes_complete || delta.is_full) {
+            is_changed |= self.retain_listed();
+        }
+        is_changed
     }
 
     fn apply_record(&mut self, record: hub::ServerRecord) {
         let name = &record.announced.server;
-        if let Some(known) = self.servers.get(name)
-            && known.announced.order() > record.announced.order()
+        let is_gone = record.announced.state == announcement::ServerState::Gone;
+        if let Some(known) = self.servers.get_mut(name)
+            && !self.position.is_complete
+            && known.record.announced.order() > record.announced.order()
         {
+            // The new hub has not heard of the newer announcement yet. An older end is the end of
+            // a lease that the server had left behind, so the record stays only if it is listed
+            // again.
+            known.listing = if is_gone { UNLISTED } else { self.listing };
             return;
         }
-        if record.announced.state == announcement::ServerState::Gone {
+        if is_gone {
             self.servers.remove(name);
             return;
         }
-        self.servers.insert(name.clone(), record);
+        let listing = self.listing;
+        self.servers
+            .insert(name.clone(), Listed { record, listing });
+    }
+
+    fn apply_entries(&mut self, entries: Vec<hub::EntryRecord>) -> bool {
+        let listing = self.listing;
+        let before: Vec<hub::EntryRecord> = self.entries().cloned().collect();
+        if self.position.is_complete {
+            self.entries.clear();
+        }
+        for record in entries {
+            let name = record.name.clone();
+            self.entries.insert(name, Listed { record, listing });
+        }
+        !self.entries().eq(before.iter())
     }
 
-    /// Drops every server that `is_listed` does not name; called when a new hub is complete.
-    pub fn retain_listed(&mut self, is_listed: impl Fn(&str) -> bool) {
-        self.servers.retain(|name, _| is_listed(name));
+    fn retain_listed(&mut self) -> bool {
+        let count = self.servers.len() + self.entries.len();
+        self.servers.retain(|_, held| held.listing == self.listing);
+        self.entries.retain(|_, held| held.listing == self.listing);
+        self.servers.len() + self.entries.len() != count
     }
 
     /// Returns the servers in order of their names.
     pub fn servers(&self) -> impl Iterator<Item = &hub::ServerRecord> {
-        self.servers.values()
+        self.servers.values().map(|held| &held.record)
     }
 
-    /// Returns the live entry processes.
-    pub fn entries(&self) -> &[hub::EntryRecord] {
-        &self.entries
+    /// Returns the live entry processes in order of their names.
+    pub fn entries(&self) -> impl Iterator<Item = &hub::EntryRecord> {
+        self.entries.values().map(|held| &held.record)
     }
 }
--- a/crates/membership/src/hub.rs
+++ b/crates/membership/src/hub.rs
@@ -6,12 +6,18 @@
 use std::collections;
 use std::net;
 
-/// Time without a sync after which an entry process counts as dead.
+/// Time without a sync after which an entry process counts as dead. It is not shorter than the
+/// configuration lease, so a dead entry process gives no new work.
 pub const ENTRY_DEAD_MS: clock::Millis = clock::Millis(4_000);
 /// Time that a dead entry process's servers have to announce themselves elsewhere.
 pub const ORPHAN_MS: clock::Millis = clock::Millis(6_000);
-/// Time that a gone server is remembered, so that every entry process learns of its end.
+/// Time that a gone server is remembered; an entry process that missed it gets the whole table.
 pub const TOMBSTONE_MS: clock::Millis = clock::Millis(60_000);
+/// Age at which a table is complete. By then each live entry process has sent all its servers, and
+/// each server whose entry process died with the last leader has announced itself elsewhere.
+pub const COMPLETE_MS: clock::Millis = clock::Millis(ENTRY_DEAD_MS.0 + ORPHAN_MS.0);
+/// Time that a lost entry process is shown to operators.
+const LOST_SHOWN_MS: clock::Millis = clock::Millis(600_000);
 
 /// Server as the hub distributes it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,9 +43,36 @@
     pub leaving: bool,
 }
 
+/// What changes of a table an entry process has to hear of, cheap to compare.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Marks {
+    /// Epoch of the table; another epoch means that revisions start anew.
+    pub epoch: u64,
+    /// Newest revision of a server.
+    pub servers: u64,
+    /// Newest revision of the entry list.
+    pub entries: u64,
+    /// Whether the table lists every live server.
+    pub is_complete: bool,
+}
+
+/// Part of a sync that concerns the table.
+#[derive(Debug, Clone, Copy)]
+pub struct Upload<'a> {
+    /// The entry process.
+    pub entry: &'a EntryRecord,
+    /// Announcements that changed there.
+    pub changed: &'a [announcement::Announcement],
+    /// Whether `changed` lists every server that announces itself there.
+    pub is_all: bool,
+    /// Version of the catalogue in force there.
+    pub version: u64,
+}
+
 #[derive(Debug)]
 struct Held {
     record: ServerRecord,
+    registrar_boot: u64,
     revision: u64,
     drop_at: clock::Millis,
 }
@@ -48,148 +81,240 @@
 struct HeldEntry {
     record: EntryRecord,
     last_sync: clock::Millis,
+    last_answer: Option<clock::Millis>,
+    has_sent_all: bool,
+    version: u64,
+}
+
+/// Entry process as operators see it.
+#[derive(Debug, Clone, Copy)]
+pub struct EntryStatus<'a> {
+    /// The entry process.
+    pub record: &'a EntryRecord,
+    /// Version of the catalogue in force there, as of its last sync.
+    pub version: u64,
+    /// Time since its last sync.
+    pub silent_ms: clock::Millis,
 }
 
 /// Table of the leader.
 ///
 /// Invariant: revisions only grow within one epoch, and a record changes only together with its
-/// revision, so an entry process that knows revision r needs exactly the records above r.
+/// revision, so an entry process that knows revision r needs exactly the records above r, unless
+/// an end after r has been forgotten.
 #[derive(Debug)]
 pub struct HubTable {
-    epoch: u64,
-    revision: u64,
-    entries_revision: u64,
+    marks: Marks,
+    started: clock::Millis,
+    forgotten: u64,
     servers: collections::BTreeMap<String, Held>,
+    by_revision: collections::BTreeMap<u64, String>,
     entries: collections::BTreeMap<String, HeldEntry>,
+    lost: collections::BTreeMap<String, (EntryRecord, clock::Millis)>,
 }
 
 impl HubTable {
     /// Creates an empty table for an epoch that no earlier table had.
-    pub fn new(epoch: u64) -> HubTable {
+    pub fn new(epoch: u64, now: clock::Millis) -> HubTable {
         HubTable {
-            epoch,
-            revision: 0,
-            entries_revision: 0,
+            marks: Marks {
+                epoch,
+                ..Marks::default()
+            },
+            started: now,
+            forgotten: 0,
             servers: collections::BTreeMap::new(),
+            by_revision: collections::BTreeMap::new(),
             entries: collections::BTreeMap::new(),
+            lost: collections::BTreeMap::new(),
         }
     }
 
-    /// Returns the epoch; another epoch means that revisions start anew.
-    pub fn epoch(&self) -> u64 {
-        self.epoch
+    /// Returns what entry processes compare their copies with.
+    pub fn marks(&self) -> Marks {
+        self.marks
     }
 
-    /// Returns the revision of the newest record of a server.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns whether an end after `revision` has been forgotten, so that the records above it do
+    /// not tell everything.
+    pub fn has_forgotten_after(&self, revision: u64) -> bool {
+        revision < self.forgotten
     }
 
-    /// Returns the revision of the list of entry processes.
-    pub fn entries_revision(&self) -> u64 {
-        self.entries_revision
-    }
-
-    /// Takes a sync of an entry process, with the announcements that changed there.
-    pub fn sync(
-        &mut self,
-        now: clock::Millis,
-        entry: &EntryRecord,
-        changed: &[announcement::Announcement],
-    ) {
+    /// Takes a sync of an entry process and returns whether it must send all its servers.
+    pub fn sync(&mut self, now: clock::Millis, upload: Upload<'_>) -> bool {
+        let entry = upload.entry;
         let known = self.entries.get(&entry.name);
+        let is_same_start = known.is_some_and(|held| held.record.boot == entry.boot);
+        let had_sent_all = is_same_start && known.is_some_and(|held| held.has_sent_all);
         if known.is_none_or(|held| held.record != *entry) {
-            self.entries_revision += 1;
+            self.marks.entries += 1;
         }
         let held = HeldEntry {
             record: entry.clone(),
             last_sync: now,
+            last_answer: known.and_then(|held| held.last_answer),
+            has_sent_all: had_sent_all || upload.is_all,
+            version: upload.version,
         };
+        let wants_all = !held.has_sent_all;
         self.entries.insert(entry.name.clone(), held);
-        for announced in changed {
-            self.merge(now, &entry.name, announced);
+        self.lost.remove(&entry.name);
+        for announced in upload.changed {
+            self.merge(now, entry, announced);
         }
+        wants_all
     }
 
     fn merge(
         &mut self,
         now: clock::Millis,
-        registrar: &str,
+        entry: &EntryRecord,
         announced: &announcement::Announcement,
     ) {
+        let is_gone = announced.state == announcement::ServerState::Gone;
         if let Some(held) = self.servers.get(&announced.server) {
             let known = &held.record;
+            let is_known_gone = known.announced.state == announcement::ServerState::Gone;
+            let is_elsewhere = known.registrar != entry.name;
             let is_older = announced.order() < known.announced.order();
-            let is_end_seen_elsewhere = announced.state == announcement::ServerState::Gone
-                && known.registrar != registrar
-                && announced.order() <= known.announced.order();
-            let is_same = known.announced == *announced && known.registrar == registrar;
-            if is_older || is_end_seen_elsewhere || is_same {
+            // A server that moved ends its lease at the first entry process, and a repeated
+            // announcement at a second one must not move the server back and forth.
+            let is_tie_elsewhere = is_elsewhere
+                && announced.order() == known.announced.order()
+                && (is_gone || !is_known_gone);
+            let is_same =
+                known.announced == *announced && !is_elsewhere && held.registrar_boot == entry.boot;
+            if is_older || is_tie_elsewhere || is_same {
                 return;
             }
         }
-        self.revision += 1;
         let record = ServerRecord {
             announced: announced.clone(),
-            registrar: registrar.to_owned(),
+            registrar: entry.name.clone(),
         };
-        let drop_at = drop_time(now, announced);
-        self.servers.insert(
-            announced.server.clone(),
-            Held {
-                record,
-                revision: self.revision,
-                drop_at,
-            },
-        );
+        let drop_at = match is_gone {
+            true => now + TOMBSTONE_MS,
+            false => clock::Millis::MAX,
+        };
+        self.put(record, entry.boot, drop_at);
+    }
+
+    fn put(&mut self, record: ServerRecord, registrar_boot: u64, drop_at: clock::Millis) {
+        self.marks.servers += 1;
+        let revision = self.marks.servers;
+        let name = record.announced.server.clone();
+        let held = Held {
+            record,
+            registrar_boot,
+            revision,
+            drop_at,
+        };
+        self.by_revision.insert(revision, name.clone());
+        if let Some(old) = self.servers.insert(name, held) {
+            self.by_revision.remove(&old.revision);
+        }
     }
 
     /// Ends entry processes without a sync and, later, the servers that only they knew.
+    ///
+    /// It is called at a fixed pace, also while no sync arrives.
     pub fn expire(&mut self, now: clock::Millis) {
-        let count = self.entries.len();
-        self.entries
-            .retain(|_, held| now.since(held.last_sync) < ENTRY_DEAD_MS);
-        if self.entries.len() != count {
-            self.entries_revision += 1;
-        }
-        for held in self.servers.values_mut() {
-            let is_gone = held.record.announced.state == announcement::ServerState::Gone;
-            if is_gone {
+        self.marks.is_complete |= now.since(self.started) >= COMPLETE_MS;
+        self.expire_entries(now);
+        let mut ended = Vec::new();
+        for (name, held) in &mut self.servers {
+            if held.record.announced.state == announcement::ServerState::Gone {
                 continue;
             }
-            if self.entries.contains_key(&held.record.registrar) {
+            let registrar = self.entries.get(&held.record.registrar);
+            // A restarted entry process does not know the servers of its earlier start.
+            if registrar.is_some_and(|entry| entry.record.boot == held.registrar_boot) {
                 held.drop_at = clock::Millis::MAX;
             } else if held.drop_at == clock::Millis::MAX {
                 held.drop_at = now + ORPHAN_MS;
             } else if held.drop_at <= now {
-                held.record.announced.state = announcement::ServerState::Gone;
-                held.drop_at = now + TOMBSTONE_MS;
-                self.revision += 1;
-                held.revision = self.revision;
+                ended.push(name.clone());
             }
         }
-        self.servers.retain(|_, held| {
-            held.record.announced.state != announcement::ServerState::Gone || held.drop_at > now
-        });
+        for name in ended {
+            self.end(now, &name);
+        }
+        self.forget_ends(now);
+    }
+
+    fn end(&mut self, now: clock::Millis, name: &str) {
+        if let Some(held) = self.servers.get(name) {
+            let mut record = held.record.clone();
+            let boot = held.registrar_boot;
+            record.announced.state = announcement::ServerState::Gone;
+            self.put(record, boot, now + TOMBSTONE_MS);
+        }
     }
 
-    /// Returns records newer than `revision`.
+    fn expire_entries(&mut self, now: clock::Millis) {
+        let is_dead = |held: &HeldEntry| now.since(held.last_sync) >= ENTRY_DEAD_MS;
+        let dead = self.entries.extract_if(.., |_, held| is_dead(held));
+        let dead: Vec<HeldEntry> = dead.map(|(_, held)| held).collect();
+        if !dead.is_empty() {
+            self.marks.entries += 1;
+        }
+        // One that said that it is leaving is not missed.
+        for held in dead.into_iter().filter(|held| !held.record.leaving) {
+            let name = held.record.name.clone();
+            self.lost.insert(name, (held.record, held.last_sync));
+        }
+        self.lost
+            .retain(|_, (_, last_sync)| now.since(*last_sync) < LOST_SHOWN_MS);
+    }
+
+    fn forget_ends(&mut self, now: clock::Millis) {
+        let is_over = |held: &Held| {
+            held.record.announced.state == announcement::ServerState::Gone && held.drop_at <= now
+        };
+        let over = self.servers.extract_if(.., |_, held| is_over(held));
+        let revisions: Vec<u64> = over.map(|(_, held)| held.revision).collect();
+        for revision in revisions {
+            self.by_revision.remove(&revision);
+            self.forgotten = self.forgotten.max(revision);
+        }
+    }
+
+    /// Notes that an entry process is answered now.
+    pub fn note_answer(&mut self, now: clock::Millis, entry: &str) {
+        if let Some(held) = self.entries.get_mut(entry) {
+            held.last_answer = Some(now);
+        }
+    }
+
+    /// Returns when an entry process was last answered.
+    pub fn last_answer(&self, entry: &str) -> Option<clock::Millis> {
+        self.entries.get(entry)?.last_answer
+    }
+
+    /// Returns records newer than `revision`, oldest first.
     pub fn servers_after(&self, revision: u64) -> impl Iterator<Item = &ServerRecord> {
-        self.servers
-            .values()
-            .filter(move |held| held.revision > revision)
-            .map(|h| &h.record)
+        let newer = self.by_revision.range(revision + 1..);
+        newer.filter_map(|(_, name)| Some(&self.servers.get(name)?.record))
     }
 
     /// Returns the live entry processes.
     pub fn entries(&self) -> impl Iterator<Item = &EntryRecord> {
         self.entries.values().map(|held| &held.record)
     }
-}
 
-fn drop_time(now: clock::Millis, announced: &announcement::Announcement) -> clock::Millis {
-    if announced.state == announcement::ServerState::Gone {
-        return now + TOMBSTONE_MS;
+    /// Returns the live entry processes as operators see them.
+    pub fn entries_status(&self, now: clock::Millis) -> impl Iterator<Item = EntryStatus<'_>> {
+        self.entries.values().map(move |held| EntryStatus {
+            record: &held.record,
+            version: held.version,
+            silent_ms: now.since(held.last_sync),
+        })
+    }
+
+    /// Returns entry processes that stopped to sync without leaving, with the time since.
+    pub fn lost(&self, now: clock::Millis) -> impl Iterator<Item = (&EntryRecord, clock::Millis)> {
+        let lost = self.lost.values();
+        lost.map(move |(record, last_sync)| (record, now.since(*last_sync)))
     }
-    clock::Millis::MAX
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,5 +10,6 @@
 
 pub mod announcement;
 pub mod directory;
+pub mod hold;
 pub mod hub;
 pub mod local;
--- a/crates/membership/src/local.rs
+++ b/crates/membership/src/local.rs
@@ -1,6 +1,7 @@
 //! Leases of the servers that announce themselves to one entry process.
 
 use crate::announcement;
+use crate::hub;
 use nutmegdale_base::clock;
 use std::collections;
 
@@ -98,14 +99,24 @@
         });
     }
 
-    /// Drops a server that announces itself to another entry process with a newer announcement.
-    pub fn forget_moved(&mut self, server: &str, order: (u64, u64)) {
-        if self
-            .servers
-            .get(server)
-            .is_some_and(|leased| leased.last.order() < order)
-        {
-            self.servers.remove(server);
+    /// Compares what the hub lists for a server with the lease held here.
+    ///
+    /// Renewals do not travel, so the hub may list another entry process for a server that has
+    /// come back here; the announcement is then sent again. A server that has moved on is dropped
+    /// here, so that the end of its lease is not taken for its end.
+    pub fn reconcile(&mut self, here: &str, listed: &hub::ServerRecord) {
+        let Some(leased) = self.servers.get_mut(&listed.announced.server) else {
+            return;
+        };
+        let is_live = leased.last.state != announcement::ServerState::Gone;
+        let is_listed_gone = listed.announced.state == announcement::ServerState::Gone;
+        let (ours, theirs) = (leased.last.order(), listed.announced.order());
+        let is_elsewhere = listed.registrar != here;
+        if is_elsewhere && ours < theirs {
+            self.servers.remove(&listed.announced.server);
+        } else if is_live && ours >= theirs && (is_listed_gone || (is_elsewhere && ours > theirs)) {
+            self.last_change += 1;
+            leased.change = self.last_change;
         }
     }
 
--- /dev/null
+++ b/crates/membership/tests/hub.rs
@@ -0,0 +1,259 @@
+//! Decisions of the hub's table and of the copies that follow it.
+
+use nutmegdale_base::clock::Millis;
+use nutmegdale_membership::announcement::{Announcement, ServerState};
+use nutmegdale_membership::{directory, hold, hub, local};
+
+fn announced(server: &str, sequence: u64, state: ServerState) -> Announcement {
+    Announcement {
+        server: server.to_owned(),
+        service: "reads".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "zone-a".to_owned(),
+        slots: 4,
+        connections: 300,
+        cold_slots: 1,
+        state,
+        incarnation: 1,
+        sequence,
+    }
+}
+
+fn warm(server: &str, sequence: u64) -> Announcement {
+    announced(server, sequence, ServerState::Warm)
+}
+
+fn entry(name: &str, boot: u64) -> hub::EntryRecord {
+    hub::EntryRecord {
+        name: name.to_owned(),
+        boot,
+        zone: "zone-a".to_owned(),
+        address: ([127, 0, 0, 1], 2).into(),
+        leaving: false,
+    }
+}
+
+fn sync(
+    table: &mut hub::HubTable,
+    now: u64,
+    entry: &hub::EntryRecord,
+    changed: &[Announcement],
+) -> bool {
+    let upload = hub::Upload {
+        entry,
+        changed,
+        is_all: !changed.is_empty(),
+        version: 1,
+    };
+    table.sync(Millis(now), upload)
+}
+
+fn follow(copy: &mut directory::Directory, table: &hub::HubTable) {
+    copy.apply(directory::Delta::collect(table, copy.position()));
+}
+
+fn names(copy: &directory::Directory) -> Vec<&str> {
+    copy.servers()
+        .map(|r| r.announced.server.as_str())
+        .collect()
+}
+
+/// Guards against an interruption on each change of leader: a copy that follows the empty table of
+/// a new leader would drop every server and entry process.
+#[test]
+fn copy_keeps_servers_until_new_table_is_complete() {
+    let (one, two) = (entry("entry-1", 1), entry("entry-2", 1));
+    let mut old = hub::HubTable::new(1, Millis(0));
+    sync(&mut old, 0, &one, &[warm("a", 1)]);
+    sync(&mut old, 0, &two, &[warm("b", 1), warm("dead", 1)]);
+    let mut copy = directory::Directory::new();
+    follow(&mut copy, &old);
+    assert_eq!(names(&copy), ["a", "b", "dead"]);
+
+    let mut new = hub::HubTable::new(2, Millis(50_000));
+    sync(&mut new, 50_000, &one, &[warm("a", 1)]);
+    follow(&mut copy, &new);
+    assert_eq!(names(&copy), ["a", "b", "dead"]);
+    assert_eq!(copy.entries().count(), 2);
+
+    sync(&mut new, 52_000, &two, &[warm("b", 1)]);
+    for now in (52_000..=60_000).step_by(1_000) {
+        sync(&mut new, now, &one, &[]);
+        sync(&mut new, now, &two, &[]);
+        new.expire(Millis(now));
+    }
+    assert!(hold::has_news(new.marks(), copy.position()));
+    follow(&mut copy, &new);
+    assert_eq!(names(&copy), ["a", "b"], "a dead server is kept for ever");
+}
+
+/// Guards against dead entry processes and servers that stay listed while no sync arrives.
+#[test]
+fn silence_ends_entry_and_then_its_servers() {
+    let mut table = hub::HubTable::new(1, Millis(0));
+    sync(&mut table, 0, &entry("entry-1", 1), &[warm("a", 1)]);
+    table.expire(Millis(3_999));
+    assert_eq!(table.entries().count(), 1);
+    table.expire(Millis(4_000));
+    assert_eq!(table.entries().count(), 0);
+    assert_eq!(table.lost(Millis(4_000)).count(), 1);
+    table.expire(Millis(9_999));
+    let state = |table: &hub::HubTable| table.servers_after(0).next().map(|r| r.announced.state);
+    assert_eq!(state(&table), Some(ServerState::Warm));
+    table.expire(Millis(10_000));
+    assert_eq!(state(&table), Some(ServerState::Gone));
+}
+
+/// Guards against a dead server that is kept because its entry process has restarted under the
+/// same name.
+#[test]
+fn servers_of_an_earlier_start_end_unless_announced_again() {
+    let mut table = hub::HubTable::new(1, Millis(0));
+    sync(
+        &mut table,
+        0,
+        &entry("entry-1", 1),
+        &[warm("a", 1), warm("b", 1)],
+    );
+    sync(&mut table, 1_000, &entry("entry-1", 2), &[warm("b", 2)]);
+    for now in (1_000..=12_000).step_by(1_000) {
+        sync(&mut table, now, &entry("entry-1", 2), &[]);
+        table.expire(Millis(now));
+    }
+    let live = |r: &&hub::ServerRecord| r.announced.state != ServerState::Gone;
+    let live: Vec<_> = table.servers_after(0).filter(live).collect();
+    assert_eq!(live.len(), 1);
+    assert_eq!(live[0].announced.server, "b");
+}
+
+/// Guards against servers lost for ever after their entry process was cut off for a while: it has
+/// no reason of its own to send them again.
+#[test]
+fn entry_that_was_thought_dead_is_asked_for_all_its_servers() {
+    let mut table = hub::HubTable::new(1, Millis(0));
+    let one = entry("entry-1", 1);
+    assert!(!sync(&mut table, 0, &one, &[warm("a", 1)]));
+    assert!(!sync(&mut table, 1_000, &one, &[]));
+    table.expire(Millis(6_000));
+    table.expire(Millis(12_000));
+    assert!(
+        sync(&mut table, 13_000, &one, &[]),
+        "it must send all again"
+    );
+    assert!(!sync(&mut table, 13_100, &one, &[warm("a", 1)]));
+    let mut copy = directory::Directory::new();
+    follow(&mut copy, &table);
+    assert_eq!(names(&copy), ["a"]);
+}
+
+/// Guards against the end of a live server: it came back to its first entry process with a renewal
+/// there, and the lease at the second one ran out.
+#[test]
+fn server_that_came_back_survives_the_end_of_its_other_lease() {
+    let (one, two) = (entry("entry-1", 1), entry("entry-2", 1));
+    let mut table = hub::HubTable::new(1, Millis(0));
+    let mut local = local::LocalTable::new();
+    local.announce(Millis(0), &warm("a", 1)).expect("announced");
+    sync(&mut table, 0, &one, &[warm("a", 1)]);
+    sync(&mut table, 1_000, &two, &[warm("a", 2)]);
+    // The renewal comes back before entry-1 has heard of the move.
+    assert_eq!(local.announce(Millis(1_010), &warm("a", 3)), Ok(false));
+    let acked = local.last_change();
+    let listed = table.servers_after(0).next().expect("listed").clone();
+    local.reconcile("entry-1", &listed);
+    let resent: Vec<_> = local.changed_after(acked).cloned().collect();
+    assert_eq!(resent, [warm("a", 3)]);
+    sync(&mut table, 1_020, &one, &resent);
+    sync(
+        &mut table,
+        7_000,
+        &two,
+        &[announced("a", 2, ServerState::Gone)],
+    );
+    let state = table.servers_after(0).next().map(|r| r.announced.state);
+    assert_eq!(state, Some(ServerState::Warm));
+}
+
+/// Guards against a server that two entry processes send in turn for ever.
+#[test]
+fn announcement_repeated_elsewhere_does_not_move_the_server() {
+    let mut table = hub::HubTable::new(1, Millis(0));
+    sync(&mut table, 0, &entry("entry-1", 1), &[warm("a", 1)]);
+    let before = table.marks();
+    sync(&mut table, 0, &entry("entry-2", 1), &[warm("a", 1)]);
+    assert_eq!(table.marks().servers, before.servers);
+}
+
+/// Guards against a copy that was cut off for longer than ends are remembered.
+#[test]
+fn copy_that_missed_an_end_gets_the_whole_table() {
+    let one = entry("entry-1", 1);
+    let mut table = hub::HubTable::new(1, Millis(0));
+    sync(&mut table, 0, &one, &[warm("a", 1), warm("b", 1)]);
+    let mut copy = directory::Directory::new();
+    follow(&mut copy, &table);
+    sync(
+        &mut table,
+        1_000,
+        &one,
+        &[announced("a", 2, ServerState::Gone)],
+    );
+    for now in (1_000..=70_000).step_by(1_000) {
+        sync(&mut table, now, &one, &[]);
+        table.expire(Millis(now));
+    }
+    follow(&mut copy, &table);
+    assert_eq!(names(&copy), ["b"]);
+}
+
+/// Guards against answers that carry the whole table for one change, at 890 servers.
+#[test]
+fn delta_holds_only_what_changed() {
+    let one = entry("entry-1", 1);
+    let mut table = hub::HubTable::new(1, Millis(0));
+    let all: Vec<_> = (0..890).map(|n| warm(&format!("server-{n}"), 1)).collect();
+    sync(&mut table, 0, &one, &all);
+    let known = table.marks();
+    sync(
+        &mut table,
+        10,
+        &one,
+        &[announced("server-7", 2, ServerState::Cold)],
+    );
+    let delta = directory::Delta::collect(&table, known);
+    assert_eq!(delta.servers.len(), 1);
+    assert!(delta.entries.is_none() && !delta.is_full);
+}
+
+/// Guards against a storm of answers: within a burst an entry process is answered at most once in
+/// 100 ms, a single change travels at once, and no sync is held beyond its time.
+#[test]
+fn held_syncs_gather_a_burst() {
+    let held = |last_answer| hold::Held {
+        arrived: Millis(1_000),
+        last_answer,
+        may_hold: true,
+    };
+    use hold::Next;
+    let decide = |now, last, news| hold::next(Millis(now), held(last), news);
+    assert_eq!(decide(1_000, None, true), Next::Answer);
+    assert_eq!(decide(1_000, Some(Millis(900)), true), Next::Answer);
+    assert_eq!(
+        decide(1_000, Some(Millis(950)), true),
+        Next::Gather(Millis(1_050))
+    );
+    assert_eq!(
+        decide(1_000, Some(Millis(950)), false),
+        Next::WaitForNews(Millis(2_000))
+    );
+    assert_eq!(
+        decide(1_990, Some(Millis(1_980)), true),
+        Next::Gather(Millis(2_000))
+    );
+    assert_eq!(decide(2_000, Some(Millis(1_990)), true), Next::Answer);
+    let urgent = hold::Held {
+        may_hold: false,
+        ..held(Some(Millis(999)))
+    };
+    assert_eq!(hold::next(Millis(1_000), urgent, false), Next::Answer);
+}
