Define when a new leader's table is complete and answer operators anywhere

A table is complete 10 s after its first sync: the time after which a silent entry process counts as dead and its servers must have moved. Until then copies keep what they hold. Lookups by revision replace scans of the whole table, held syncs compare marks without a lock, and answers to one entry process are at least 100 ms apart within a burst. Changes of the catalogue travel as the entries that differ, checked by a digest; the whole configuration is the fallback.

The administration API is separate from its HTTP front, followers pass requests of operators and, on demand, syncs on to the leader. New: history, diff, zone and server service states, status, dump and audit.

--- a/crates/control/src/catalogue.rs
+++ b/crates/control/src/catalogue.rs
@@ -16,26 +16,44 @@
     pub wall_ms: u64,
 }
 
+/// Accepted catalogue with the digest of its configuration.
+#[derive(Debug, Clone)]
+pub struct Current {
+    /// The catalogue.
+    pub accepted: state::Accepted,
+    /// Digest of the configuration.
+    pub digest: u64,
+}
+
+impl Current {
+    fn new(accepted: &state::Accepted) -> Current {
+        Current {
+            accepted: accepted.clone(),
+            digest: accepted.config.digest(),
+        }
+    }
+}
+
 /// Published catalogue, read without a lock.
 #[derive(Debug)]
 pub struct Published {
-    accepted: ArcSwap<state::Accepted>,
+    current: ArcSwap<Current>,
     version_tx: watch::Sender<u64>,
 }
 
 impl Published {
     /// Creates the empty catalogue.
     pub fn new() -> sync::Arc<Published> {
-        let accepted = ArcSwap::from_pointee(state::Accepted::default());
+        let current = Current::new(&state::Accepted::default());
         sync::Arc::new(Published {
-            accepted,
+            current: ArcSwap::from_pointee(current),
             version_tx: watch::Sender::new(0),
         })
     }
 
     /// Returns what is applied here.
-    pub fn load(&self) -> sync::Arc<state::Accepted> {
-        self.accepted.load_full()
+    pub fn load(&self) -> sync::Arc<Current> {
+        self.current.load_full()
     }
 
     /// Returns a receiver that is told of each new version.
@@ -62,8 +80,8 @@
 
     fn publish(&self) {
         // The clone shares the history, so its cost does not grow with the number of changes.
-        let accepted = sync::Arc::new(self.state.accepted().clone());
-        self.published.accepted.store(accepted);
+        let current = sync::Arc::new(Current::new(self.state.accepted()));
+        self.published.current.store(current);
         let version = self.state.config().version.0;
         self.published.version_tx.send_if_modified(|last| {
             let is_new = *last != version;
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -1,22 +1,54 @@
 //! Answers to the syncs of entry processes.
+//!
+//! The table lies in `nutmegdale-membership`, and so does the decision when a held sync is
+//! answered; this module waits, asks the quorum and joins both with the catalogue.
 
 use crate::catalogue;
 use nutmegdale_base::clock;
-use nutmegdale_membership::{directory, hub};
+use nutmegdale_catalogue::{audit, diff};
+use nutmegdale_membership::{directory, hold, hub};
 use nutmegdale_replica::handle;
 use nutmegdale_rpc::message;
+use std::net;
 use std::sync;
 use std::time;
 use tokio::sync::watch;
 
+/// Pace at which silent entry processes and servers are ended. It adds to the times after which
+/// they count as dead.
+const EXPIRE_MS: u64 = 250;
+/// Time for which a confirmed term is taken for granted when a sync arrives. The answer itself is
+/// always confirmed anew, so a stale term costs a retry and nothing else.
+const TERM_FRESH_MS: clock::Millis = clock::Millis(500);
+
 /// Hub of the leader; a replica that does not lead refuses syncs.
 #[allow(missing_debug_implementations)] // Holds a trait object.
 pub struct Hub {
     clock: sync::Arc<dyn clock::Clock>,
     group: handle::Handle,
     published: sync::Arc<catalogue::Published>,
-    table: sync::Mutex<hub::HubTable>,
-    changed: watch::Sender<()>,
+    state: sync::Mutex<State>,
+    marks: watch::Sender<hub::Marks>,
+}
+
+/// Soft state of one term.
+#[derive(Debug)]
+pub struct State {
+    /// Table of servers and entry processes.
+    pub table: hub::HubTable,
+    /// Counts of what entry processes did.
+    pub audit: audit::Ledger,
+    confirmed: clock::Millis,
+}
+
+impl State {
+    fn new(epoch: u64, now: clock::Millis) -> State {
+        State {
+            table: hub::HubTable::new(epoch, now),
+            audit: audit::Ledger::default(),
+            confirmed: now,
+        }
+    }
 }
 
 impl Hub {
@@ -26,13 +58,14 @@
         group: handle::Handle,
         published: sync::Arc<catalogue::Published>,
     ) -> Hub {
-        let table = sync::Mutex::new(hub::HubTable::new(0));
+        // No term has number 0, so the first confirmed term replaces this table.
+        let state = sync::Mutex::new(State::new(0, clock.now()));
         Hub {
             clock,
             group,
             published,
-            table,
-            changed: watch::Sender::new(()),
+            state,
+            marks: watch::Sender::new(hub::Marks::default()),
         }
     }
 
@@ -40,81 +73,184 @@
     ///
     /// The quorum confirms the lead after the hold, so the answer is current when it is made.
     pub async fn sync(&self, req: &message::SyncRequest) -> message::SyncReply {
-        let mut versions = self.published.subscribe();
-        let mut changes = self.changed.subscribe();
-        let epoch = match self.group.confirm().await {
+        let arrived = self.clock.now();
+        let epoch = match self.recent_term(arrived).await {
             Ok(term) => term,
             Err(err) => return not_leader(&err),
         };
-        if self.take(epoch, req) {
-            self.changed.send_replace(());
-        }
-        if req.may_hold && !self.has_news(req) {
-            let hold = time::Duration::from_millis(message::SYNC_HOLD_MS.0);
-            let news = async {
-                loop {
-                    tokio::select! {
-                        _ = versions.changed() => {}
-                        _ = changes.changed() => {}
-                    }
-                    if self.has_news(req) {
-                        break;
-                    }
-                }
-            };
-            // A timeout is the usual end of a hold.
-            drop(tokio::time::timeout(hold, news).await);
+        let wants_all = self.take(epoch, req);
+        if !wants_all {
+            self.hold(arrived, req).await;
         }
         match self.group.confirm().await {
-            Ok(term) if term == epoch => self.reply(req),
-            Ok(_) => message::SyncReply::NotLeader { leader: None },
+            Ok(term) if term == epoch => self.reply(req, wants_all),
+            Ok(term) => {
+                self.adopt(term);
+                message::SyncReply::NotLeader { leader: None }
+            }
             Err(err) => not_leader(&err),
         }
     }
 
-    fn table(&self) -> sync::MutexGuard<'_, hub::HubTable> {
-        self.table
+    /// Confirms the lead and shows the soft state of this term to `read`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this replica does not lead.
+    pub async fn read<T>(
+        &self,
+        read: impl FnOnce(&State, clock::Millis) -> T,
+    ) -> Result<T, handle::ProposeError> {
+        let term = self.group.confirm().await?;
+        self.adopt(term);
+        Ok(read(&self.state(), self.clock.now()))
+    }
+
+    /// Ends silent entry processes and servers at a fixed pace until `stop` turns true.
+    pub async fn expire(&self, mut stop: watch::Receiver<bool>) {
+        let pace = time::Duration::from_millis(EXPIRE_MS);
+        while tokio::time::timeout(pace, stop.wait_for(|is_stopping| *is_stopping))
+            .await
+            .is_err()
+        {
+            let now = self.clock.now();
+            let mut state = self.state();
+            state.table.expire(now);
+            self.publish(state.table.marks());
+        }
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, State> {
+        self.state
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    fn take(&self, epoch: u64, req: &message::SyncRequest) -> bool {
+    fn publish(&self, marks: hub::Marks) {
+        self.marks.send_if_modified(|last| {
+            let is_new = *last != marks;
+            *last = marks;
+            is_new
+        });
+    }
+
+    async fn recent_term(&self, now: clock::Millis) -> Result<u64, handle::ProposeError> {
+        {
+            let state = self.state();
+            let epoch = state.table.marks().epoch;
+            if epoch != 0 && now.since(state.confirmed) < TERM_FRESH_MS {
+                return Ok(epoch);
+            }
+        }
+        let term = self.group.confirm().await?;
+        self.adopt(term);
+        Ok(term)
+    }
+
+    /// Takes up a term that a quorum confirmed; a new one begins with an empty table.
+    fn adopt(&self, term: u64) {
         let now = self.clock.now();
-        let mut table = self.table();
-        if table.epoch() != epoch {
-            *table = hub::HubTable::new(epoch);
+        let mut state = self.state();
+        let epoch = state.table.marks().epoch;
+        // A late confirmation of an earlier term must not replace the table of a later one.
+        if term > epoch {
+            *state = State::new(term, now);
+        }
+        if term >= epoch {
+            state.confirmed = now;
         }
-        let before = (table.revision(), table.entries_revision());
-        table.sync(now, &req.entry, &req.changed);
-        table.expire(now);
-        before != (table.revision(), table.entries_revision())
     }
 
-    fn has_news(&self, req: &message::SyncRequest) -> bool {
-        let version = self.published.load().config.version;
-        let table = self.table();
-        version > req.version
-            || table.epoch() != req.position.epoch
-            || table.revision() > req.position.servers
-            || table.entries_revision() > req.position.entries
+    fn take(&self, epoch: u64, req: &message::SyncRequest) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state();
+        if state.table.marks().epoch != epoch {
+            return false;
+        }
+        let upload = hub::Upload {
+            entry: &req.entry,
+            changed: &req.changed,
+            is_all: req.is_all,
+            version: req.version.0,
+        };
+        let wants_all = state.table.sync(now, upload);
+        state
+            .audit
+            .take(&req.entry.name, req.entry.boot, &req.audit);
+        self.publish(state.table.marks());
+        wants_all
     }
 
-    fn reply(&self, req: &message::SyncRequest) -> message::SyncReply {
-        let accepted = self.published.load();
-        let config = &accepted.config;
-        let is_newer = config.version > req.version;
-        message::SyncReply::Confirmed {
-            version: config.version,
-            config: is_newer.then(|| Box::new(config.as_ref().clone())),
-            delta: directory::Delta::collect(&self.table(), req.position),
+    async fn hold(&self, arrived: clock::Millis, req: &message::SyncRequest) {
+        let mut versions = self.published.subscribe();
+        let mut marks = self.marks.subscribe();
+        let held = hold::Held {
+            arrived,
+            last_answer: self.state().table.last_answer(&req.entry.name),
+            may_hold: req.may_hold,
+        };
+        loop {
+            let has_news = *versions.borrow_and_update() > req.version.0
+                || hold::has_news(*marks.borrow_and_update(), req.position);
+            let now = self.clock.now();
+            match hold::next(now, held, has_news) {
+                hold::Next::Answer => return,
+                hold::Next::Gather(until) => sleep(until.since(now)).await,
+                hold::Next::WaitForNews(until) => tokio::select! {
+                    () = sleep(until.since(now)) => {}
+                    _ = versions.changed() => {}
+                    _ = marks.changed() => {}
+                },
+            }
         }
     }
+
+    fn reply(&self, req: &message::SyncRequest, wants_all: bool) -> message::SyncReply {
+        let now = self.clock.now();
+        let current = self.published.load();
+        let accepted = &current.accepted;
+        let version = accepted.config.version;
+        let effects = accepted.history.diff(req.version, version);
+        let update = (version > req.version).then(|| match effects {
+            Some(effects) if req.version.0 > 0 => {
+                message::Update::Effects(effects.into_iter().map(without_before).collect())
+            }
+            _ => message::Update::Whole(Box::new(accepted.config.as_ref().clone())),
+        });
+        let mut state = self.state();
+        state.table.note_answer(now, &req.entry.name);
+        message::SyncReply::Confirmed(Box::new(message::Confirmed {
+            version,
+            digest: current.digest,
+            update,
+            delta: directory::Delta::collect(&state.table, req.position),
+            wants_all,
+        }))
+    }
+}
+
+/// Leaves out what the receiver holds anyhow.
+fn without_before(effect: diff::Effect) -> diff::Effect {
+    diff::Effect {
+        before: None,
+        ..effect
+    }
+}
+
+async fn sleep(span: clock::Millis) {
+    tokio::time::sleep(time::Duration::from_millis(span.0)).await;
 }
 
 fn not_leader(err: &handle::ProposeError) -> message::SyncReply {
-    let leader = match err {
+    message::SyncReply::NotLeader {
+        leader: leader_of(err),
+    }
+}
+
+/// Returns the leader that an error names.
+pub fn leader_of(err: &handle::ProposeError) -> Option<net::SocketAddr> {
+    match err {
         handle::ProposeError::NotLeader { leader } => *leader,
         _ => None,
-    };
-    message::SyncReply::NotLeader { leader }
+    }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,11 +3,13 @@
 //!
 //! [`catalogue::Machine`] applies changes and publishes each accepted configuration by an atomic
 //! pointer swap; [`hub::Hub`] answers syncs of entry processes after a quorum confirmed the lead;
-//! [`admin::Admin`] answers operators over HTTP and JSON. Decisions lie in the pure crates. See
+//! [`api::Api`] answers operators, and [`admin::Admin`] is its HTTP front. Decisions lie in the pure crates. See
 //! [docs/design.md](../../../docs/design.md), sections 4 to 6.
 
 pub mod admin;
+pub mod api;
 pub mod catalogue;
 pub mod groups;
 pub mod hub;
 pub mod service;
+pub mod status;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,9 +1,9 @@
 //! The control role of a process.
 
-use crate::{admin, catalogue, groups, hub};
+use crate::{admin, api, catalogue, groups, hub};
 use bytes::Bytes;
 use nutmegdale_base::clock;
-use nutmegdale_rpc::{listen, server};
+use nutmegdale_rpc::{client, listen, message, server};
 use nutmegdale_settings::model;
 use std::io;
 use std::sync;
@@ -12,6 +12,10 @@
 /// Time that a stopping control process waits for calls to end.
 const DRAIN_MS: clock::Millis = clock::Millis(3_000);
 
+/// Time for the leader to answer a sync that is passed on: the longest hold and some room, but less
+/// than the entry process waits.
+const FORWARD_MS: clock::Millis = clock::Millis(1_500);
+
 /// Runs the control role until `stop` turns true.
 ///
 /// # Errors
@@ -27,38 +31,76 @@
     let published = catalogue::Published::new();
     let machine = catalogue::Machine::new(sync::Arc::clone(&published));
     let group = groups::start(groups::CATALOGUE, &control.members, Box::new(machine))?;
-    let hub = hub::Hub::new(clock, group.clone(), sync::Arc::clone(&published));
+    let hub = sync::Arc::new(hub::Hub::new(
+        clock,
+        group.clone(),
+        sync::Arc::clone(&published),
+    ));
+    let (for_api, api_log) = (sync::Arc::clone(&hub), log.clone());
+    let api = api::Api::new(&process.name, group, published, for_api, api_log);
+    let api = sync::Arc::new(api);
     let calls = sync::Arc::new(Calls {
-        hub: sync::Arc::new(hub),
+        hub: sync::Arc::clone(&hub),
+        api: sync::Arc::clone(&api),
+        client: sync::Arc::new(client::Client::new(&process.cluster_token)),
     });
     let peers = sync::Arc::new(server::CallService::new(&process.cluster_token, calls));
-    let operators = sync::Arc::new(admin::Admin::new(&control.operators, group, published));
+    let operators = sync::Arc::new(admin::Admin::new(process, control, api));
     let peer_listener = listen::bind(control.listen).await?;
     let admin_listener = listen::bind(control.admin).await?;
     slog::info!(log, "control role started"; "listen" => %control.listen, "admin" => %control.admin);
     let bounds = listen::Bounds::default();
     tokio::join!(
         listen::serve(peer_listener, peers, bounds, stop.clone(), DRAIN_MS),
-        listen::serve(admin_listener, operators, bounds, stop, DRAIN_MS),
+        listen::serve(admin_listener, operators, bounds, stop.clone(), DRAIN_MS),
+        hub.expire(stop),
     );
     Ok(())
 }
 
 struct Calls {
     hub: sync::Arc<hub::Hub>,
+    api: sync::Arc<api::Api>,
+    client: sync::Arc<client::Client>,
 }
 
 impl server::Handler for Calls {
     fn call(&self, name: &str, body: Bytes) -> Option<server::ReplyFuture> {
         match name {
             "sync" => {
-                let hub = sync::Arc::clone(&self.hub);
+                let (hub, client) = (sync::Arc::clone(&self.hub), sync::Arc::clone(&self.client));
+                Some(Box::pin(async move { sync(&hub, &client, &body).await }))
+            }
+            "admin" => {
+                let api = sync::Arc::clone(&self.api);
                 Some(Box::pin(async move {
                     let req = server::decode(&body)?;
-                    server::encode(&hub.sync(&req).await)
+                    let reply = api.answer(&req).await;
+                    let reply = reply.unwrap_or_else(|_| api::error(503, "the leader has changed"));
+                    server::encode(&reply)
                 }))
             }
             _ => None,
         }
     }
 }
+
+/// Answers a sync, or passes it on to the leader if the entry process cannot reach it.
+async fn sync(hub: &hub::Hub, client: &client::Client, body: &[u8]) -> server::Reply {
+    let mut req: message::SyncRequest = server::decode(body)?;
+    let reply = hub.sync(&req).await;
+    let message::SyncReply::NotLeader {
+        leader: Some(leader),
+    } = reply
+    else {
+        return server::encode(&reply);
+    };
+    if !req.may_forward || req.is_forwarded {
+        return server::encode(&reply);
+    }
+    req.is_forwarded = true;
+    match client.call(leader, "sync", &req, FORWARD_MS).await {
+        Ok::<message::SyncReply, _>(reply) => server::encode(&reply),
+        Err(err) => Err((hyper::StatusCode::BAD_GATEWAY, err.to_string())),
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,8 @@
 //! module that sends a request to a server. Decisions lie in the pure crates. See
 //! [docs/design.md](../../../docs/design.md), sections 6 and 8.
 
+pub mod audit;
+pub mod follow;
 pub mod forward;
 pub mod pool;
 pub mod proxy;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -221,7 +221,10 @@
             if !self.published.has_lease(self.clock.now()) {
                 return Err(Outcome::NotRun(Reason::ConfigLease));
             }
-            match forward::send(snapshot, server, permit, req).await {
+            let sent = snapshot.counts.begin(&snapshot.view, checked.route, server);
+            let attempt = forward::send(snapshot, server, permit, req).await;
+            sent.end(&attempt);
+            match attempt {
                 forward::Attempt::Answered(answer) => return Ok(answer),
                 forward::Attempt::Unknown(reason) => return Err(Outcome::Unknown(reason)),
                 forward::Attempt::NotRun(why, Some(unsent)) => {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -1,6 +1,6 @@
 //! The entry role of a process.
 
-use crate::{proxy, reserved, snapshot, sync as syncer};
+use crate::{audit, proxy, reserved, snapshot, sync as syncer};
 use nutmegdale_base::clock;
 use nutmegdale_catalogue::config;
 use nutmegdale_choice::p2c;
@@ -81,5 +81,5 @@
         &directory::Directory::new(),
         place,
     );
-    snapshot::Builder::new().build(view)
+    snapshot::Builder::new().build(view, audit::Counts::default())
 }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! What the path of a request reads: a view, its lease and the live part of each server.
 
+use crate::audit;
 use crate::pool;
 use arc_swap::ArcSwap;
 use nutmegdale_base::{clock, entity};
@@ -28,6 +29,8 @@
     pub live: entity::PrimaryMap<entity::Server, sync::Arc<Live>>,
     /// Candidates of each service.
     pub candidates: entity::PrimaryMap<entity::Service, Vec<policy::Candidate>>,
+    /// Counters for the audit.
+    pub counts: audit::Counts,
 }
 
 type LiveKey = (String, u64);
@@ -45,7 +48,7 @@
     }
 
     /// Joins a view with the live parts of its servers and drops those of servers that are gone.
-    pub fn build(&mut self, view: view::View) -> Snapshot {
+    pub fn build(&mut self, view: view::View, counts: audit::Counts) -> Snapshot {
         let entries_count = view.entries.len().max(1);
         let mut kept = collections::HashMap::new();
         let mut live = entity::PrimaryMap::new();
@@ -76,6 +79,7 @@
             view,
             live,
             candidates,
+            counts,
         }
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -1,13 +1,14 @@
 //! Keeps the snapshot of an entry process current.
 //!
-//! Invariants: the version in force never goes back, and the lease is extended only after the
-//! snapshot that a quorum confirmed is published, counted from the sending of the sync.
+//! Invariant: the configuration lease is extended only after the snapshot that a quorum confirmed
+//! is published, counted from the sending of the sync.
 
+use crate::audit;
+use crate::follow;
 use crate::proxy;
 use crate::snapshot;
 use nutmegdale_base::clock;
-use nutmegdale_catalogue::config;
-use nutmegdale_membership::{directory, hub};
+use nutmegdale_membership::hub;
 use nutmegdale_routing::view;
 use nutmegdale_rpc::{client, message};
 use nutmegdale_settings::model;
@@ -21,8 +22,13 @@
 const SYNC_TIMEOUT_MS: clock::Millis = clock::Millis(1_800);
 /// Pause after a failed sync.
 const RETRY_MS: u64 = 100;
-/// Shortest time between two syncs, which bounds their number while much changes.
+/// Pause after a sync that was held.
 const PACE_MS: u64 = 20;
+/// Shortest time between the starts of two syncs that send announcements. The first change of a
+/// burst travels at once, the rest together.
+const GATHER_MS: clock::Millis = clock::Millis(100);
+/// Time for which syncs go through a follower after the leader could not be reached.
+const RELAY_MS: clock::Millis = clock::Millis(30_000);
 
 /// State of the sync of one entry process.
 #[allow(missing_debug_implementations)] // Holds trait objects.
@@ -32,12 +38,12 @@
     process: model::Process,
     entry: model::Entry,
     log: slog::Logger,
-    config: config::Config,
-    directory: directory::Directory,
+    follower: follow::Follower,
     builder: snapshot::Builder,
-    acked_change: u64,
+    audit: audit::Audit,
     peer: usize,
     leader: Option<net::SocketAddr>,
+    relay_until: clock::Millis,
 }
 
 impl Syncer {
@@ -54,12 +60,12 @@
             process: process.clone(),
             entry: entry.clone(),
             log,
-            config: config::Config::default(),
-            directory: directory::Directory::new(),
+            follower: follow::Follower::new(),
             builder: snapshot::Builder::new(),
-            acked_change: 0,
+            audit: audit::Audit::new(),
             peer: 0,
             leader: None,
+            relay_until: clock::Millis::ZERO,
         }
     }
 
@@ -68,23 +74,31 @@
         let mut local_changed = self.shared.reserved.local_changed.subscribe();
         while !*stop.borrow() {
             local_changed.mark_unchanged();
-            let has_unacked = {
+            let started = self.shared.clock.now();
+            let has_unsent = {
                 let mut local = self.shared.reserved.local();
-                local.expire(self.shared.clock.now());
-                local.last_change() > self.acked_change
+                local.expire(started);
+                self.follower.has_unsent(&local)
             };
+            let may_hold = !has_unsent;
             let is_ok = tokio::select! {
-                is_ok = self.sync(!has_unacked) => is_ok,
-                // A held sync is given up, so that a local change travels at once.
-                _ = local_changed.changed() => true,
+                is_ok = self.sync(may_hold) => is_ok,
+                // A held sync is given up, so that a local change travels at once. One that
+                // carries changes is not: under steady changes no sync would ever end.
+                _ = local_changed.changed(), if may_hold => true,
                 _ = stop.changed() => break,
             };
-            let pause_ms = if is_ok { PACE_MS } else { RETRY_MS };
+            let gather = GATHER_MS.since(self.shared.clock.now().since(started));
+            let pause_ms = match is_ok {
+                false => RETRY_MS,
+                true if may_hold => PACE_MS,
+                true => gather.0.max(PACE_MS),
+            };
             tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
         }
     }
 
-    fn request(&self, may_hold: bool) -> (message::SyncRequest, u64) {
+    fn request(&mut self, now: clock::Millis, may_hold: bool) -> (message::SyncRequest, u64) {
         let entry = hub::EntryRecord {
             name: self.process.name.clone(),
             boot: self.shared.boot,
@@ -92,38 +106,48 @@
             address: self.entry.listen,
             leaving: self.shared.is_stopping.load(atomic::Ordering::Relaxed),
         };
-        let local = self.shared.reserved.local();
+        let announced = self.follower.announced(&self.shared.reserved.local());
         let req = message::SyncRequest {
             entry,
-            version: self.config.version,
-            position: self.directory.position(),
-            changed: local.changed_after(self.acked_change).cloned().collect(),
+            version: self.follower.stated_version(),
+            position: self.follower.directory().position(),
+            changed: announced.changed,
+            is_all: announced.is_all,
             may_hold,
+            may_forward: now < self.relay_until,
             is_forwarded: false,
+            audit: self.audit.report(now),
         };
-        (req, local.last_change())
+        (req, announced.last_change)
     }
 
     async fn sync(&mut self, may_hold: bool) -> bool {
-        let (req, change) = self.request(may_hold);
+        let sent = self.shared.clock.now();
+        let (req, change) = self.request(sent, may_hold);
         let peer = match self.leader {
             Some(leader) => leader,
             None => self.entry.control[self.peer % self.entry.control.len()],
         };
-        let sent = self.shared.clock.now();
         let reply = self.client.call(peer, "sync", &req, SYNC_TIMEOUT_MS).await;
         match reply {
-            Ok(message::SyncReply::Confirmed {
-                version,
-                config,
-                delta,
-            }) => self.take(sent, change, version, config, delta),
+            Ok(message::SyncReply::Confirmed(confirmed)) => {
+                if confirmed.wants_all {
+                    // Another leader has no counts yet.
+                    self.audit.forget_acked();
+                } else {
+                    self.audit.ack(&req.audit);
+                }
+                self.take(sent, change, *confirmed)
+            }
             Ok(message::SyncReply::NotLeader { leader }) => {
                 self.next_peer(leader);
                 false
             }
             Err(err) => {
                 slog::warn!(self.log, "sync failed"; "peer" => %peer, "error" => %err);
+                if self.leader.is_some() {
+                    self.relay_until = self.shared.clock.now() + RELAY_MS;
+                }
                 self.next_peer(None);
                 false
             }
@@ -137,42 +161,31 @@
         }
     }
 
-    fn take(
-        &mut self,
-        sent: clock::Millis,
-        change: u64,
-        version: config::Version,
-        config: Option<Box<config::Config>>,
-        delta: directory::Delta,
-    ) -> bool {
-        if version < self.config.version {
-            // Only a leader that lost accepted changes could answer so.
-            slog::error!(self.log, "older catalogue refused";
-                "held" => self.config.version.0, "offered" => version.0);
-            return false;
-        }
-        let is_new_hub = delta.position.epoch != self.directory.position().epoch;
-        let mut is_changed = self.directory.apply(delta);
-        if let Some(config) = config.filter(|config| config.version > self.config.version) {
-            slog::info!(self.log, "catalogue in force"; "version" => config.version.0);
-            self.config = *config;
-            is_changed = true;
-        }
-        if self.config.version != version {
-            return false;
-        }
-        if is_changed {
-            self.publish();
-        }
-        self.shared
-            .published
-            .extend_lease(sent + self.entry.config_lease_ms);
-        // A new hub knows nothing of this process's servers, so all of them are sent again.
-        self.acked_change = if is_new_hub { 0 } else { change };
-        if !is_new_hub {
-            self.shared.reserved.local().forget_gone(self.acked_change);
+    fn take(&mut self, sent: clock::Millis, change: u64, reply: message::Confirmed) -> bool {
+        let before = self.follower.config().version;
+        let taken = {
+            let mut local = self.shared.reserved.local();
+            self.follower
+                .take(&self.process.name, change, reply, &mut local)
+        };
+        match taken {
+            Ok(is_changed) => {
+                if is_changed {
+                    self.publish();
+                }
+                let version = self.follower.config().version;
+                if version != before {
+                    slog::info!(self.log, "catalogue in force"; "version" => version.0);
+                }
+                let lease_ends = sent + self.entry.config_lease_ms;
+                self.shared.published.extend_lease(lease_ends);
+                true
+            }
+            Err(refused) => {
+                slog::error!(self.log, "sync answer refused"; "error" => %refused);
+                false
+            }
         }
-        true
     }
 
     fn publish(&mut self) {
@@ -180,7 +193,11 @@
             zone: &self.process.zone,
             region: &self.process.region,
         };
-        let view = view::View::build(&self.config, &self.directory, place);
-        self.shared.published.store(self.builder.build(view));
+        let (config, directory) = (self.follower.config(), self.follower.directory());
+        let view = view::View::build(config, directory, place);
+        let counts = self.audit.counts(config, &view);
+        self.shared
+            .published
+            .store(self.builder.build(view, counts));
     }
 }
--- a/crates/membership/tests/hub.rs
+++ b/crates/membership/tests/hub.rs
@@ -174,6 +174,19 @@
     assert_eq!(state, Some(ServerState::Warm));
 }
 
+/// Guards against a return that looks like a renewal and so is never sent: the first entry process
+/// has heard of the move.
+#[test]
+fn server_that_comes_back_after_the_move_was_heard_of_is_a_change() {
+    let mut table = hub::HubTable::new(1, Millis(0));
+    let mut local = local::LocalTable::new();
+    local.announce(Millis(0), &warm("a", 1)).expect("announced");
+    sync(&mut table, 1_000, &entry("entry-2", 1), &[warm("a", 2)]);
+    let listed = table.servers_after(0).next().expect("listed").clone();
+    local.reconcile("entry-1", &listed);
+    assert_eq!(local.announce(Millis(2_000), &warm("a", 3)), Ok(true));
+}
+
 /// Guards against a server that two entry processes send in turn for ever.
 #[test]
 fn announcement_repeated_elsewhere_does_not_move_the_server() {
--- a/crates/rpc/src/message.rs
+++ b/crates/rpc/src/message.rs
@@ -1,7 +1,6 @@
 //! Messages that join several pure crates.
 
-use nutmegdale_base::clock;
-use nutmegdale_catalogue::config;
+use nutmegdale_catalogue::{audit, config, diff};
 use nutmegdale_membership::announcement;
 use nutmegdale_membership::directory;
 use nutmegdale_membership::hub;
@@ -19,9 +18,6 @@
 /// Largest body of a call or its answer, in bytes.
 pub const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
 
-/// Longest time that a control process holds a sync open.
-pub const SYNC_HOLD_MS: clock::Millis = clock::Millis(1_000);
-
 /// Sync of an entry process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
@@ -31,29 +27,78 @@
     pub version: config::Version,
     /// What it holds of the hub's table.
     pub position: directory::Position,
-    /// Announcements that changed there since the hub of `position` took them up.
+    /// Announcements that changed there since the last sync that was answered.
     pub changed: Vec<announcement::Announcement>,
+    /// Whether `changed` lists every server that announces itself there.
+    pub is_all: bool,
     /// Whether the answer may be held until something changes.
     pub may_hold: bool,
+    /// Whether a follower should pass the sync on, since the leader could not be reached.
+    pub may_forward: bool,
     /// Whether a follower passed the sync on, so that it is not passed on again.
     pub is_forwarded: bool,
+    /// Counts of what the entry process did, from time to time.
+    #[serde(default, skip_serializing_if = "audit::Report::is_empty")]
+    pub audit: audit::Report,
+}
+
+/// How an entry process comes to the newest configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Update {
+    /// The whole configuration.
+    Whole(Box<config::Config>),
+    /// The entries that differ from the version that the request named. At 40 entry processes and
+    /// 1,600 changes a day the whole configuration would use up the budget of a control process.
+    Effects(Vec<diff::Effect>),
+}
+
+/// State of the leader, after a quorum confirmed the lead.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmed {
+    /// Newest accepted version; it was confirmed after the sync arrived.
+    pub version: config::Version,
+    /// Digest of that version, which a configuration that was updated must have.
+    pub digest: u64,
+    /// The way there, if the entry process holds an older one.
+    pub update: Option<Update>,
+    /// What the entry process lacks of the hub's table.
+    pub delta: directory::Delta,
+    /// Whether the next sync must list every server that announces itself there.
+    pub wants_all: bool,
 }
 
-/// Answer to a sync, made only after a quorum confirmed the leader.
+/// Answer to a sync.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SyncReply {
     /// State of the leader.
-    Confirmed {
-        /// Newest accepted version; it was confirmed after the sync arrived.
-        version: config::Version,
-        /// The configuration, if the entry process holds an older one.
-        config: Option<Box<config::Config>>,
-        /// What the entry process lacks of the hub's table.
-        delta: directory::Delta,
-    },
+    Confirmed(Box<Confirmed>),
     /// The process does not lead.
     NotLeader {
         /// Address of the leader, if known.
         leader: Option<net::SocketAddr>,
     },
 }
+
+/// Request of an operator that a follower passes on to the leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdminRequest {
+    /// Operator, whose token the follower has checked.
+    pub operator: String,
+    /// Method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Query, or the empty string.
+    pub query: String,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Answer to a request of an operator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdminReply {
+    /// HTTP status.
+    pub status: u16,
+    /// JSON body.
+    pub body: Vec<u8>,
+}
