--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,232 @@
+//! The command line.
+
+use argh::FromArgs;
+
+/// Operate the catalogue of nutmegdale.
+#[derive(Debug, FromArgs)]
+#[argh(
+    note = "Control processes are asked in turn until one answers. --control and --token-file default to the environment variables NUTMEGCTL_CONTROL (addresses) and NUTMEGCTL_TOKEN (the token itself).",
+    error_code(0, "The command was carried out."),
+    error_code(
+        1,
+        "The command line, a file or the environment is at fault; nothing was sent."
+    ),
+    error_code(2, "The change breaks rules; nothing changed."),
+    error_code(
+        3,
+        "Another change was accepted from the same base version; nothing changed."
+    ),
+    error_code(
+        4,
+        "No control process answered in time; send the change again with the same id."
+    ),
+    error_code(5, "The change is accepted but not in force everywhere in time."),
+    error_code(6, "The audit found violations."),
+    error_code(7, "The token is not one of an operator."),
+    error_code(8, "A control process refused the request.")
+)]
+pub(crate) struct Args {
+    /// admin addresses of control processes, as IP:PORT,IP:PORT
+    #[argh(option)]
+    pub(crate) control: Option<String>,
+
+    /// file that holds the operator's token
+    #[argh(option)]
+    pub(crate) token_file: Option<String>,
+
+    /// seconds to wait for an answer of any control process (default 15)
+    #[argh(option, default = "15")]
+    pub(crate) timeout: u64,
+
+    /// print answers as JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Apply(Apply),
+    Show(Show),
+    History(History),
+    Diff(Diff),
+    Zone(Zone),
+    Server(Server),
+    Status(Status),
+    Dump(Dump),
+    Audit(Audit),
+}
+
+/// Apply a change. The file holds one step, a list of steps, or an object with "ops" and, if
+/// wanted, "id" and "base".
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub(crate) struct Apply {
+    /// JSON file, or - for standard input
+    #[argh(positional)]
+    pub(crate) file: String,
+
+    /// identifier of the change; a resend with the same one is not applied twice
+    #[argh(option)]
+    pub(crate) id: Option<String>,
+
+    /// version that the change was made from (default: the newest)
+    #[argh(option)]
+    pub(crate) base: Option<u64>,
+
+    /// seconds to wait until the change is in force on every entry process
+    #[argh(option)]
+    pub(crate) wait: Option<u64>,
+}
+
+/// Show the catalogue.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub(crate) struct Show {
+    /// version to show (default: the newest)
+    #[argh(option)]
+    pub(crate) version: Option<u64>,
+}
+
+/// Show who changed what, when and from which version.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub(crate) struct History {
+    /// show changes after this version (default: the newest ones)
+    #[argh(option)]
+    pub(crate) after: Option<u64>,
+
+    /// most changes to show (default 100)
+    #[argh(option)]
+    pub(crate) limit: Option<u64>,
+}
+
+/// Show the entries that differ between two versions.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub(crate) struct Diff {
+    /// first version
+    #[argh(positional)]
+    pub(crate) from: u64,
+
+    /// second version (default: the newest)
+    #[argh(positional)]
+    pub(crate) to: Option<u64>,
+}
+
+/// Take an availability zone out of service or back in.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "zone")]
+pub(crate) struct Zone {
+    #[argh(subcommand)]
+    state: State,
+}
+
+/// Take a backend server out of service or back in.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "server")]
+pub(crate) struct Server {
+    #[argh(subcommand)]
+    state: State,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum State {
+    Out(Out),
+    In(In),
+}
+
+/// Take out of service: no new work after a few seconds.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "out")]
+struct Out {
+    /// name
+    #[argh(positional)]
+    name: String,
+
+    /// identifier of the change; a resend with the same one is not applied twice
+    #[argh(option)]
+    id: Option<String>,
+
+    /// seconds to wait until the change is in force on every entry process
+    #[argh(option)]
+    wait: Option<u64>,
+}
+
+/// Take back into service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "in")]
+struct In {
+    /// name
+    #[argh(positional)]
+    name: String,
+
+    /// identifier of the change; a resend with the same one is not applied twice
+    #[argh(option)]
+    id: Option<String>,
+
+    /// seconds to wait until the change is in force on every entry process
+    #[argh(option)]
+    wait: Option<u64>,
+}
+
+/// Show how far the newest version is in force, entry processes and servers.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct Status {}
+
+/// Print everything that the leading control process holds, as JSON.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub(crate) struct Dump {}
+
+/// Compare what entry processes did with what the catalogue said.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "audit")]
+pub(crate) struct Audit {}
+
+/// What `zone` and `server` ask for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Target<'a> {
+    /// Name of the zone or server.
+    pub(crate) name: &'a str,
+    /// `out` or `in`.
+    pub(crate) state: &'static str,
+    /// Identifier of the change.
+    pub(crate) id: Option<&'a str>,
+    /// Seconds to wait.
+    pub(crate) wait: Option<u64>,
+}
+
+impl State {
+    fn target(&self) -> Target<'_> {
+        let (state, name, id, wait) = match self {
+            State::Out(out) => ("out", &out.name, &out.id, out.wait),
+            State::In(into) => ("in", &into.name, &into.id, into.wait),
+        };
+        Target {
+            name,
+            state,
+            id: id.as_deref(),
+            wait,
+        }
+    }
+}
+
+impl Zone {
+    /// Returns what is asked for.
+    pub(crate) fn target(&self) -> Target<'_> {
+        self.state.target()
+    }
+}
+
+impl Server {
+    /// Returns what is asked for.
+    pub(crate) fn target(&self) -> Target<'_> {
+        self.state.target()
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,70 @@
+//! Command-line tool for operators, over the administration API of the control processes.
+//!
+//! [`run`] parses a command line, asks the listed control processes in turn and prints the answer
+//! for people or, with `--json`, for scripts. Nothing is decided here: the catalogue is checked by
+//! the control group alone. The API is described in [docs/interfaces.md](../../../docs/interfaces.md)
+//! and the commands in [docs/operations.md](../../../docs/operations.md).
+
+mod args;
+mod change;
+mod client;
+mod exit;
+mod print;
+mod read;
+
+pub use exit::Exit;
+use std::io::Write;
+
+/// Runs one command line, without the name of the program, and returns its exit code.
+///
+/// Answers go to `out`; notes for the person at the terminal go to `notes`.
+pub async fn run(args: &[&str], out: &mut dyn Write, notes: &mut dyn Write) -> Exit {
+    let parsed: args::Args = match argh::FromArgs::from_args(&["nutmegctl"], args) {
+        Ok(parsed) => parsed,
+        Err(early) => {
+            // A closed pipe is the reader's wish.
+            drop(write!(out, "{}", early.output));
+            return match early.status {
+                Ok(()) => Exit::Done,
+                Err(()) => Exit::Usage,
+            };
+        }
+    };
+    let result = dispatch(&parsed, out, notes).await;
+    match result {
+        Ok(exit) => exit,
+        Err(exit::Failure { exit, text }) => {
+            drop(writeln!(notes, "nutmegctl: {text}"));
+            exit
+        }
+    }
+}
+
+async fn dispatch(
+    args: &args::Args,
+    out: &mut dyn Write,
+    notes: &mut dyn Write,
+) -> exit::Result<Exit> {
+    let client = client::Client::new(args)?;
+    let mut cx = exit::Context {
+        client,
+        is_json: args.json,
+        out,
+        notes,
+    };
+    match &args.command {
+        args::Command::Apply(apply) => change::apply(&mut cx, apply).await,
+        args::Command::Zone(state) => {
+            change::service_state(&mut cx, "zones", &state.target()).await
+        }
+        args::Command::Server(state) => {
+            change::service_state(&mut cx, "servers", &state.target()).await
+        }
+        args::Command::Show(show) => read::show(&mut cx, show).await,
+        args::Command::History(history) => read::history(&mut cx, history).await,
+        args::Command::Diff(diff) => read::diff(&mut cx, diff).await,
+        args::Command::Status(_) => read::status(&mut cx).await,
+        args::Command::Dump(_) => read::dump(&mut cx).await,
+        args::Command::Audit(_) => read::audit(&mut cx).await,
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/operators/common.rs
@@ -0,0 +1,133 @@
+//! What the tests of operators share: a cluster of two zones, the command-line tool and callers.
+
+use nutmegdale_ctl::Exit;
+use nutmegdale_testkit::{cluster, http, standin};
+use serde_json::{Value, json};
+use std::fs;
+use std::net;
+use std::time;
+
+/// Time within which a change must be in force everywhere.
+pub(crate) const IN_FORCE: time::Duration = time::Duration::from_secs(6);
+/// Time that a test waits for something that must happen, on a slow machine.
+pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(20);
+
+const ZONE_A: cluster::Place = cluster::Place {
+    zone: "zone-a",
+    region: "north",
+};
+const ZONE_B: cluster::Place = cluster::Place {
+    zone: "zone-b",
+    region: "north",
+};
+
+/// Starts one control process and entry processes in zone-a, zone-b and zone-b.
+pub(crate) fn start() -> cluster::Cluster {
+    cluster::Cluster::start(&cluster::Plan {
+        program: env!("CARGO_BIN_EXE_nutmegdale").into(),
+        control: vec![ZONE_A],
+        entry: vec![ZONE_A, ZONE_B, ZONE_B],
+    })
+}
+
+/// Steps of the first catalogue.
+pub(crate) fn first() -> Value {
+    json!([
+        { "op": "put-zone", "zone": { "name": "zone-a", "region": "north" } },
+        { "op": "put-zone", "zone": { "name": "zone-b", "region": "north" } },
+        { "op": "put-account",
+          "account": { "name": "inspector", "owner": "Ann", "class": "urgent-lookup" } },
+        { "op": "put-route",
+          "route": { "name": "reads", "owner": "Ann", "class": "urgent-lookup",
+                     "path_prefix": "/logs", "service": "reads" } },
+    ])
+}
+
+/// Result of a command.
+#[derive(Debug)]
+pub(crate) struct Ran {
+    pub(crate) exit: Exit,
+    pub(crate) out: String,
+    pub(crate) notes: String,
+}
+
+/// Runs the command-line tool with the token of the cluster's operator.
+pub(crate) async fn ctl(cluster: &cluster::Cluster, args: &[&str]) -> Ran {
+    let token = cluster.folder().join("token");
+    fs::write(&token, "operator-token-for-tests\n").expect("token can be written");
+    ctl_with(cluster, token.to_str().expect("path is text"), args).await
+}
+
+/// Runs the command-line tool with the token of a file.
+pub(crate) async fn ctl_with(cluster: &cluster::Cluster, token: &str, args: &[&str]) -> Ran {
+    let control = cluster.control.iter().map(|d| d.admin().to_string());
+    let control = control.collect::<Vec<_>>().join(",");
+    let head = ["--control", &control, "--token-file", token];
+    let all = [&head, args].concat();
+    let (mut out, mut notes) = (Vec::new(), Vec::new());
+    let exit = nutmegdale_ctl::run(&all, &mut out, &mut notes).await;
+    let text = |bytes| String::from_utf8(bytes).expect("output is text");
+    Ran {
+        exit,
+        out: text(out),
+        notes: text(notes),
+    }
+}
+
+/// Writes a change to a file of the cluster and returns its path.
+pub(crate) fn file(cluster: &cluster::Cluster, name: &str, change: &Value) -> String {
+    let path = cluster.folder().join(name);
+    fs::write(&path, change.to_string()).expect("change can be written");
+    path.to_str().expect("path is text").to_owned()
+}
+
+/// Applies the first catalogue and waits until it is in force everywhere.
+pub(crate) async fn apply_first(cluster: &cluster::Cluster) {
+    cluster::eventually(PATIENCE, "three entry processes", || async {
+        let status = cluster.admin("GET", "/admin/v1/status", "").await;
+        let status = status.json().expect("JSON");
+        (status["in_force"]["of"] == 3).then_some(())
+    })
+    .await;
+    let path = file(cluster, "first.json", &first());
+    let ran = ctl(cluster, &["apply", &path, "--wait", "20"]).await;
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+}
+
+/// Sends one lookup to an entry process.
+pub(crate) async fn lookup(entry: net::SocketAddr) -> Option<http::Answer> {
+    let headers = [("nutmegdale-account", "inspector")];
+    let req = http::Request::get("/logs/hall-7", &headers);
+    let sent = http::send(entry, &req);
+    tokio::time::timeout(time::Duration::from_secs(5), sent)
+        .await
+        .ok()?
+        .ok()
+}
+
+/// Waits until a lookup at an entry process is answered.
+pub(crate) async fn answered(entry: net::SocketAddr) -> http::Answer {
+    cluster::eventually(PATIENCE, "an answer", || async {
+        lookup(entry).await.filter(|answer| answer.status == 200)
+    })
+    .await
+}
+
+/// Waits until a lookup at an entry process is refused for a reason.
+pub(crate) async fn refused(entry: net::SocketAddr, reason: &str) {
+    cluster::eventually(PATIENCE, reason, || async {
+        let answer = lookup(entry).await?;
+        (answer.header("nutmegdale-reason") == reason).then_some(())
+    })
+    .await;
+}
+
+/// Starts a server of the service `reads`.
+pub(crate) async fn server(
+    cluster: &mut cluster::Cluster,
+    name: &str,
+    zone: &str,
+) -> standin::StandIn {
+    let announced = cluster.announcement(name, "reads", zone);
+    cluster.standin(announced).await
+}
