--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,10 +3,11 @@
 //!
 //! [`catalogue::Machine`] applies changes and publishes each accepted configuration by an atomic
 //! pointer swap; [`hub::Hub`] answers syncs of entry processes after a quorum confirmed the lead;
-//! [`admin::Admin`] answers operators over HTTP and JSON. Decisions lie in the pure crates. See
+//! [`api::Api`] answers operators, and [`admin::Admin`] is its HTTP front. Decisions lie in the pure crates. See
 //! [docs/design.md](../../../docs/design.md), sections 4 to 6.
 
 pub mod admin;
+pub mod api;
 pub mod catalogue;
 mod founding;
 pub mod groups;
@@ -14,3 +15,4 @@
 mod members;
 pub mod peers;
 pub mod service;
+pub mod status;
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -50,10 +50,15 @@
     }
     assert_eq!(server.shared.executions().len(), 2);
 
-    let addresses = http::Request::get("/.nutmegdale/addresses?route=reads", &[]);
-    let addresses = http::send(cluster.entry[0].entry(), &addresses)
-        .await
-        .expect("answer");
-    let addresses = addresses.json().expect("JSON");
-    assert_eq!(addresses["addresses"].as_array().map(Vec::len), Some(2));
+    // The list is stated to be complete within seconds, since each entry process learns of the
+    // others through its next sync.
+    let req = http::Request::get("/.nutmegdale/addresses?route=reads", &[]);
+    for entry in &cluster.entry {
+        let limit = time::Duration::from_secs(6);
+        cluster::eventually(limit, "both entry processes in the list", || async {
+            let list = http::send(entry.entry(), &req).await.ok()?.json().ok()?;
+            (list["addresses"].as_array()?.len() == 2).then_some(())
+        })
+        .await;
+    }
 }
