Measure the distribution of changes and what idle processes cost

The tool starts a control process and 18 entry processes with 890 announced servers, counts bytes with relays and reads CPU and memory from the process table.

--- /dev/null
+++ b/crates/daemon/examples/measure_control.rs
@@ -0,0 +1,294 @@
+//! Measures the distribution of the catalogue and what control and entry processes cost at rest.
+//!
+//! `cargo build --release --bin nutmegdale && cargo run --release -p nutmegdale-daemon --example
+//! measure_control`. Figures with their command are in docs/measurements.md. This is no CI test:
+//! it judges nothing.
+
+use nutmegdale_testkit::{cluster, http};
+use serde_json::json;
+use std::fs;
+use std::net;
+use std::path;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Servers of the target scale.
+const SERVERS_COUNT: usize = 890;
+/// Services of the target scale.
+const SERVICES_COUNT: usize = 140;
+/// Entry processes of the deployments.
+const ENTRIES_COUNT: usize = 18;
+/// Changes of one measurement of the time until they are in force.
+const CHANGES_COUNT: usize = 60;
+/// Time over which a process at rest is watched.
+const REST: time::Duration = time::Duration::from_secs(20);
+/// Clock ticks of a second in `/proc/PID/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+const PLACE: cluster::Place = cluster::Place {
+    zone: "zone-a",
+    region: "north",
+};
+
+/// Relay that counts the bytes of both directions.
+#[derive(Debug, Default)]
+struct Counter {
+    bytes: atomic::AtomicU64,
+}
+
+async fn relay(listen: net::SocketAddr, to: net::SocketAddr) -> sync::Arc<Counter> {
+    let counter = sync::Arc::new(Counter::default());
+    let listener = TcpListener::bind(listen).await.expect("relay can listen");
+    let shared = sync::Arc::clone(&counter);
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let counter = sync::Arc::clone(&shared);
+            tokio::spawn(async move {
+                let Ok(far) = TcpStream::connect(to).await else {
+                    return;
+                };
+                let nodelay = near.set_nodelay(true).and(far.set_nodelay(true));
+                drop(nodelay);
+                let (near_read, near_write) = near.into_split();
+                let (far_read, far_write) = far.into_split();
+                tokio::join!(
+                    pass(near_read, far_write, &counter),
+                    pass(far_read, near_write, &counter),
+                );
+            });
+        }
+    });
+    counter
+}
+
+async fn pass(
+    mut read: tokio::net::tcp::OwnedReadHalf,
+    mut write: tokio::net::tcp::OwnedWriteHalf,
+    counter: &Counter,
+) {
+    let mut buf = vec![0; 65_536];
+    while let Ok(count) = read.read(&mut buf).await {
+        if count == 0 || write.write_all(&buf[..count]).await.is_err() {
+            break;
+        }
+        let count = count as u64;
+        counter.bytes.fetch_add(count, atomic::Ordering::Relaxed);
+    }
+    drop(write.shutdown().await);
+}
+
+fn program() -> path::PathBuf {
+    let own = std::env::current_exe().expect("own path");
+    let folder = own
+        .parent()
+        .and_then(path::Path::parent)
+        .expect("target folder");
+    folder.join("nutmegdale")
+}
+
+fn start(entries: usize) -> cluster::Cluster {
+    cluster::Cluster::start(&cluster::Plan {
+        program: program(),
+        control: vec![PLACE],
+        entry: vec![PLACE; entries],
+    })
+}
+
+async fn first_catalogue(cluster: &cluster::Cluster) {
+    let mut ops = vec![
+        json!({ "op": "put-zone", "zone": { "name": "zone-a", "region": "north" } }),
+        json!({ "op": "put-account",
+                "account": { "name": "a", "owner": "Ann", "class": "urgent-lookup" } }),
+    ];
+    for n in 0..SERVICES_COUNT {
+        ops.push(json!({ "op": "put-route", "route": {
+            "name": format!("route-{n}"), "owner": "Ann", "class": "urgent-lookup",
+            "path_prefix": format!("/service-{n}"), "service": format!("service-{n}"),
+            "home_regions": ["north"], "limits": { "concurrency": 100 } } }));
+    }
+    cluster.apply("first", &json!(ops)).await;
+}
+
+async fn version_at(conn: &mut http::Connection) -> u64 {
+    let req = http::Request::get("/nowhere", &[]);
+    let answer = conn.send(&req).await.expect("entry process answers");
+    answer.header("nutmegdale-version").parse().unwrap_or(0)
+}
+
+async fn time_in_force(entry: net::SocketAddr, version: u64, since: time::Instant) -> f64 {
+    let mut conn = http::Connection::open(entry).await.expect("connection");
+    while version_at(&mut conn).await < version {
+        tokio::time::sleep(time::Duration::from_millis(1)).await;
+    }
+    since.elapsed().as_secs_f64() * 1_000.0
+}
+
+/// Prints the time from the acceptance of a change until the last entry process routes by it.
+async fn measure_in_force(cluster: &cluster::Cluster, pause: time::Duration, what: &str) {
+    let mut times = Vec::new();
+    for n in 0..CHANGES_COUNT {
+        let ops = json!([{ "op": "put-account", "account":
+            { "name": format!("{what}-{n}"), "owner": "Ann", "class": "bulk-export" } }]);
+        let version = cluster.apply(&format!("{what}-{n}"), &ops).await;
+        let accepted = time::Instant::now();
+        let watch = cluster.entry.iter();
+        let watch: Vec<_> = watch
+            .map(|entry| tokio::spawn(time_in_force(entry.entry(), version, accepted)))
+            .collect();
+        let mut last: f64 = 0.0;
+        for task in watch {
+            last = last.max(task.await.expect("watch ends"));
+        }
+        times.push(last);
+        tokio::time::sleep(pause).await;
+    }
+    times.sort_by(f64::total_cmp);
+    let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize];
+    println!(
+        "in force everywhere, {} entry processes, {what}: median {:.1} ms, 99 in 100 {:.1} ms, \
+         longest {:.1} ms over {} changes",
+        cluster.entry.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0),
+        times.len(),
+    );
+}
+
+/// Keeps a server announced over one connection, as servers with keep-alive do.
+async fn announce(mut announced: serde_json::Value, entry: net::SocketAddr) {
+    let Ok(mut conn) = http::Connection::open(entry).await else {
+        return;
+    };
+    for sequence in 1_u64.. {
+        announced["sequence"] = json!(sequence);
+        let req = http::Request::post("/.nutmegdale/announce", &[], announced.to_string());
+        if conn.send(&req).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(time::Duration::from_secs(2)).await;
+    }
+}
+
+struct Usage {
+    ticks: u64,
+    resident_kb: u64,
+}
+
+fn usage(pid: u32) -> Usage {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).expect("process runs");
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+    let ticks = [11, 12]
+        .iter()
+        .map(|at| fields[*at].parse::<u64>().unwrap_or(0));
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("process runs");
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let resident = resident.and_then(|rest| rest.trim().split(' ').next()?.parse().ok());
+    Usage {
+        ticks: ticks.sum(),
+        resident_kb: resident.unwrap_or(0),
+    }
+}
+
+async fn watch(name: &str, daemon: &cluster::Daemon, counters: &[&Counter]) {
+    let pid = daemon.pid().expect("process runs");
+    let bytes = || {
+        let counts = counters.iter();
+        counts
+            .map(|c| c.bytes.load(atomic::Ordering::Relaxed))
+            .sum::<u64>()
+    };
+    let (before, bytes_before) = (usage(pid), bytes());
+    tokio::time::sleep(REST).await;
+    let (after, bytes_after) = (usage(pid), bytes());
+    let secs = REST.as_secs_f64();
+    let percent = (after.ticks - before.ticks) as f64 / TICKS_PER_SECOND / secs * 100.0;
+    println!(
+        "{name} at rest: {:.0} bytes/s, {percent:.2}% of a core, {} KB resident",
+        (bytes_after - bytes_before) as f64 / secs,
+        after.resident_kb,
+    );
+}
+
+/// Makes the entry processes reach the control process through a relay that counts.
+async fn through_relay(cluster: &mut cluster::Cluster) -> sync::Arc<Counter> {
+    let control = cluster.control[0].control();
+    let address = cluster.standin_address();
+    let counter = relay(address, control).await;
+    let mut entries = std::mem::take(&mut cluster.entry);
+    for entry in &mut entries {
+        entry.kill();
+        let path = cluster.folder().join(format!("{}.ini", entry.name));
+        let text = fs::read_to_string(&path).expect("settings");
+        let text = text.replace(&control.to_string(), &address.to_string());
+        fs::write(&path, text).expect("settings can be written");
+        cluster.restart(entry);
+    }
+    cluster.entry = entries;
+    counter
+}
+
+async fn announce_all(cluster: &mut cluster::Cluster) -> sync::Arc<Counter> {
+    let address = cluster.standin_address();
+    let counter = relay(address, cluster.entry[0].entry()).await;
+    for n in 0..SERVERS_COUNT {
+        let at = n % cluster.entry.len();
+        let to = if at == 0 {
+            address
+        } else {
+            cluster.entry[at].entry()
+        };
+        let announced = json!({ "server": format!("server-{n}"),
+            "service": format!("service-{}", n % SERVICES_COUNT),
+            "address": format!("127.0.0.1:{}", 20_000 + n), "zone": "zone-a", "slots": 4,
+            "connections": 300, "state": "warm", "incarnation": 1, "sequence": 0 });
+        tokio::spawn(announce(announced, to));
+    }
+    counter
+}
+
+async fn is_listed(cluster: &cluster::Cluster) -> Option<()> {
+    let status = cluster.admin("GET", "/admin/v1/status", "").await;
+    let status = status.json().expect("JSON");
+    let is_all = status["servers"]["zone-a"]["warm"] == SERVERS_COUNT
+        && status["in_force"]["on"] == ENTRIES_COUNT
+        && status["is_complete"] == true;
+    is_all.then_some(())
+}
+
+#[tokio::main]
+async fn main() {
+    let small = start(3);
+    first_catalogue(&small).await;
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    measure_in_force(&small, time::Duration::from_millis(150), "single").await;
+    drop(small);
+
+    let mut cluster = start(ENTRIES_COUNT);
+    first_catalogue(&cluster).await;
+    let syncs = through_relay(&mut cluster).await;
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let announcements = announce_all(&mut cluster).await;
+    let limit = time::Duration::from_secs(60);
+    cluster::eventually(limit, "every server", || is_listed(&cluster)).await;
+    tokio::time::sleep(time::Duration::from_secs(5)).await;
+    println!("{SERVERS_COUNT} servers, {ENTRIES_COUNT} entry processes");
+    watch("control process", &cluster.control[0], &[&*syncs]).await;
+    watch(
+        "entry process, announcements",
+        &cluster.entry[0],
+        &[&*announcements],
+    )
+    .await;
+    measure_in_force(&cluster, time::Duration::from_millis(150), "single").await;
+    measure_in_force(&cluster, time::Duration::ZERO, "burst").await;
+    watch(
+        "control process after the changes",
+        &cluster.control[0],
+        &[&*syncs],
+    )
+    .await;
+}
