--- /dev/null
+++ b/crates/consensus/tests/focused.rs
@@ -0,0 +1,287 @@
+//! Guards single rules whose breach random runs meet too seldom.
+
+use nutmegdale_base::{clock, rng};
+use nutmegdale_consensus::{actions, input, node, status, types};
+
+mod net;
+
+/// Replica that is fed by hand.
+struct Bench {
+    node: node::Node,
+    now_ms: u64,
+    actions: actions::Actions,
+}
+
+impl Bench {
+    fn new(recovered: types::Recovered) -> Bench {
+        let rng = Box::new(rng::SplitMix64::new(1));
+        let now = clock::Millis(1_000);
+        Bench {
+            node: node::Node::new(net::config(), net::GROUP, net::id(1), recovered, rng, now),
+            now_ms: 1_000,
+            actions: actions::Actions::default(),
+        }
+    }
+
+    fn step(&mut self, input: input::Input<'_>) -> input::Answer {
+        self.actions.clear();
+        let now = clock::Millis(self.now_ms);
+        self.node.step(now, input, &mut self.actions)
+    }
+
+    fn receive(&mut self, from: u64, term: u64, message: types::Message) {
+        let env = types::Envelope {
+            group: net::GROUP.to_owned(),
+            from: net::id(from),
+            to: net::id(1),
+            term: types::Term(term),
+            message,
+        };
+        self.step(input::Input::Message(&env));
+    }
+
+    fn votes(&self) -> Vec<bool> {
+        let vote = |env: &types::Envelope| match env.message {
+            types::Message::Vote { is_granted, .. } => Some(is_granted),
+            _ => None,
+        };
+        self.actions.messages.iter().filter_map(vote).collect()
+    }
+
+    /// Lets the replica win an election against replicas 2 and 3.
+    fn lead(&mut self) -> u64 {
+        self.now_ms += 1_000;
+        self.step(input::Input::Tick);
+        let term = self.node.status().term.0 + 1;
+        for is_pre_vote in [true, false] {
+            let granted = types::Message::Vote {
+                is_pre_vote,
+                is_granted: true,
+            };
+            self.receive(2, term, granted);
+        }
+        assert_eq!(self.node.status().role, status::Role::Leader);
+        self.step(input::Input::Tick);
+        term
+    }
+
+    fn appended(&mut self, from: u64, term: u64, index: u64) {
+        self.acknowledged(from, term, index, 1);
+    }
+
+    fn acknowledged(&mut self, from: u64, term: u64, index: u64, round: u64) {
+        let message = types::Message::Appended {
+            is_accepted: true,
+            index: types::Index(index),
+            last_index: types::Index(index),
+            round,
+        };
+        self.receive(from, term, message);
+    }
+}
+
+fn members() -> types::MemberSet {
+    let members = (1..=3).map(|n| net::member(n, true)).collect();
+    types::MemberSet { members }
+}
+
+fn recovered(extra: &[(u64, u64)]) -> types::Recovered {
+    let mut entries = vec![types::LogEntry {
+        term: types::Term(1),
+        index: types::Index(1),
+        payload: types::Payload::Members(members()),
+    }];
+    let extra = extra.iter().map(|(index, term)| types::LogEntry {
+        term: types::Term(*term),
+        index: types::Index(*index),
+        payload: types::Payload::Command(vec![0; 8]),
+    });
+    entries.extend(extra);
+    let term = entries.last().map_or(types::Term(1), |e| e.term);
+    types::Recovered {
+        hard_state: types::HardState {
+            term,
+            voted_for: None,
+        },
+        snapshot: None,
+        entries,
+    }
+}
+
+fn request_vote(last: (u64, u64)) -> types::Message {
+    types::Message::RequestVote {
+        is_pre_vote: false,
+        last_index: types::Index(last.0),
+        last_term: types::Term(last.1),
+        is_transfer: false,
+    }
+}
+
+/// A vote that is forgotten by a restart may be given twice, and two leaders share a term.
+#[test]
+fn vote_is_persisted_and_holds_after_a_restart() {
+    let mut bench = Bench::new(recovered(&[]));
+    bench.receive(2, 5, request_vote((1, 1)));
+    assert_eq!(bench.votes(), [true]);
+    let hard_state = bench.actions.hard_state.expect("vote is persisted");
+    assert_eq!(hard_state.voted_for, Some(net::id(2)));
+    let mut bench = Bench::new(types::Recovered {
+        hard_state,
+        ..recovered(&[])
+    });
+    bench.receive(3, 5, request_vote((9, 4)));
+    assert_eq!(bench.votes(), [false]);
+    bench.receive(2, 5, request_vote((1, 1)));
+    assert_eq!(bench.votes(), [true]);
+}
+
+/// An entry of an earlier term that a quorum holds can still be replaced, so counting it as
+/// committed loses it.
+#[test]
+fn entries_of_earlier_terms_are_committed_only_with_one_of_this_term() {
+    let mut bench = Bench::new(recovered(&[(2, 2)]));
+    let term = bench.lead();
+    bench.appended(2, term, 2);
+    assert_eq!(bench.node.status().commit, types::Index(0));
+    bench.appended(2, term, 3);
+    assert_eq!(bench.node.status().commit, types::Index(3));
+}
+
+/// Two changes at once could give two disjoint quorums.
+#[test]
+fn second_change_of_members_waits_for_the_first() {
+    let mut bench = Bench::new(recovered(&[]));
+    let term = bench.lead();
+    let admit = |n| input::Input::Change(input::MemberChange::Admit(net::member(n, false)));
+    let refused = input::Answer::Refused;
+    assert_eq!(bench.step(admit(4)), refused(input::Refusal::NotReady));
+    bench.appended(2, term, 2);
+    assert!(matches!(
+        bench.step(admit(4)),
+        input::Answer::Appended { .. }
+    ));
+    assert_eq!(bench.step(admit(5)), refused(input::Refusal::ChangePending));
+    bench.appended(2, term, 3);
+    assert_eq!(bench.step(admit(4)), refused(input::Refusal::AlreadyMember));
+    let promote = |n| input::Input::Change(input::MemberChange::Promote(net::id(n)));
+    assert_eq!(bench.step(promote(4)), refused(input::Refusal::NotCaughtUp));
+    assert_eq!(bench.step(promote(9)), refused(input::Refusal::NotMember));
+    let remove = input::Input::Change(input::MemberChange::Remove(net::id(3)));
+    assert!(matches!(bench.step(remove), input::Answer::Appended { .. }));
+}
+
+/// A leader that was deposed without hearing of it must not answer a read from its old state, even
+/// if its clock says that it was confirmed a moment ago.
+#[test]
+fn read_needs_a_round_that_started_after_it() {
+    let mut bench = Bench::new(recovered(&[]));
+    let term = bench.lead();
+    bench.acknowledged(2, term, 2, 1);
+    assert_eq!(bench.step(input::Input::Read(7)), input::Answer::Done);
+    assert!(bench.actions.confirmed_reads.is_empty());
+    bench.acknowledged(3, term, 2, 1);
+    assert!(bench.actions.confirmed_reads.is_empty(), "old round");
+    bench.step(input::Input::Tick);
+    bench.acknowledged(3, term, 2, 2);
+    assert_eq!(bench.actions.confirmed_reads, [7]);
+}
+
+/// Answers to rounds from before a freeze must not keep a leader that others replaced.
+#[test]
+fn answers_that_waited_while_frozen_do_not_keep_the_lead() {
+    let mut bench = Bench::new(recovered(&[]));
+    let term = bench.lead();
+    bench.acknowledged(2, term, 2, 1);
+    bench.now_ms += 500;
+    bench.acknowledged(3, term, 2, 1);
+    assert_eq!(bench.node.status().role, status::Role::Follower);
+    assert!(bench.actions.is_lead_lost);
+    let answer = bench.step(input::Input::Propose(&[0; 8]));
+    assert_eq!(answer, input::Answer::Refused(input::Refusal::NotLeader));
+}
+
+/// A replica without a log does not know the members, so its vote could make a quorum of a group
+/// that it does not belong to.
+#[test]
+fn blank_replica_neither_votes_nor_campaigns() {
+    let mut bench = Bench::new(types::Recovered::default());
+    bench.receive(2, 5, request_vote((1, 1)));
+    assert!(bench.actions.messages.is_empty());
+    bench.receive(2, 5, types::Message::TimeoutNow);
+    bench.now_ms += 10_000;
+    bench.step(input::Input::Tick);
+    assert!(bench.actions.messages.is_empty());
+    assert_eq!(bench.node.status().term, types::Term(0));
+}
+
+/// Messages for another identity, such as the one before a disk was lost, must have no effect.
+#[test]
+fn message_for_another_identity_is_dropped() {
+    let mut bench = Bench::new(recovered(&[]));
+    let env = types::Envelope {
+        group: net::GROUP.to_owned(),
+        from: net::id(2),
+        to: net::id(99),
+        term: types::Term(5),
+        message: request_vote((1, 1)),
+    };
+    bench.step(input::Input::Message(&env));
+    assert!(bench.actions.messages.is_empty());
+    assert_eq!(bench.node.status().term, types::Term(1));
+}
+
+/// A follower on an older disk must not count for what it lost, nor later leaders count it, until
+/// it has caught up and an operator readmits it.
+#[test]
+fn follower_with_an_older_disk_is_not_counted_until_readmitted() {
+    let mut net = net::Net::new(3, 3);
+    assert!(net.run_until(1_000, |net| net.leader().is_some()));
+    let leader = net.leader().expect("leader");
+    let others: Vec<u64> = net.numbers().into_iter().filter(|n| *n != leader).collect();
+    let (old, other) = (others[0], others[1]);
+    net.snapshot_after_count = usize::MAX;
+    net.propose(leader);
+    net.run(50);
+    let older = net.replica(old).disk.clone();
+    for _ in 0..5 {
+        net.propose(leader);
+    }
+    net.run(50);
+    net.crash(old);
+    net.replica_mut(old).disk = older;
+    net.crash(other);
+    net.start(old);
+    let before = net.status(leader).commit;
+    let is_suspect = |net: &net::Net| {
+        let status = net.status(leader);
+        status
+            .progress
+            .iter()
+            .any(|p| p.id == net::id(old) && p.is_suspect)
+    };
+    assert!(net.run_until(60, is_suspect), "the loss is noticed");
+    assert_eq!(net.status(leader).is_repaired, Some(false));
+    // With the other follower down, what the suspect holds must commit nothing.
+    let command = net.propose(leader);
+    net.run(60);
+    assert_eq!(net.status(leader).commit, before);
+    assert!(!net.is_accepted(command));
+    net.start(other);
+    let is_demoted = |net: &net::Net| {
+        let status = net.leader().map(|leader| net.status(leader));
+        status.is_some_and(|s| !s.members.is_voter(net::id(old)) && s.is_repaired == Some(true))
+    };
+    assert!(net.run_until(2_000, is_demoted), "demoted in the log");
+    net.run(100);
+    let leader = net.leader().expect("leader");
+    let promote = input::Input::Change(input::MemberChange::Promote(net::id(old)));
+    assert!(matches!(
+        net.input(leader, promote),
+        input::Answer::Appended { .. }
+    ));
+    net.finish(leader);
+    net.run(100);
+    let status = net.status(leader);
+    assert!(status.members.is_voter(net::id(old)));
+    assert_eq!(status.is_repaired, Some(true));
+}
--- a/crates/verifier/src/lib.rs
+++ b/crates/verifier/src/lib.rs
@@ -5,4 +5,5 @@
 //! [docs/design.md](../../../docs/design.md), section 1.
 
 pub mod catalogue;
+pub mod history;
 pub mod ledger;
