Measure commit latency, group commit and recovery

Cause: the cost of replication and durability was not known. Change: the example replication_cost runs groups of one and three over the real calls and compares each commit with the bare sync time of the same disk in the same run.

--- /dev/null
+++ b/crates/control/examples/replication_cost.rs
@@ -0,0 +1,298 @@
+//! Measures what replication and durability cost on this machine.
+//!
+//! Prints commit latency against the bare sync time of the same disk in the same run, group commit
+//! under load, and recovery time against the number of changes. Control processes run in one
+//! process, each with a folder and a loopback address of its own, and talk over the real calls.
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use nutmegdale_base::clock;
+use nutmegdale_catalogue::{change, config, spec};
+use nutmegdale_control::{catalogue, groups};
+use nutmegdale_replica::handle;
+use nutmegdale_rpc::{listen, server};
+use nutmegdale_settings::model;
+use nutmegdale_telemetry::{clock as system, log};
+use std::fs;
+use std::io;
+use std::net;
+use std::os::unix::fs::FileExt;
+use std::path;
+use std::sync;
+use std::time;
+use tokio::sync::watch;
+
+/// Measures what replication and durability cost.
+#[derive(Debug, argh::FromArgs)]
+struct Args {
+    /// folder on the disk to measure; it is created and removed
+    #[argh(positional)]
+    folder: path::PathBuf,
+
+    /// samples of each latency (default 1000)
+    #[argh(option, default = "1_000")]
+    samples: u64,
+
+    /// numbers of changes for recovery, separated by commas
+    #[argh(option, default = "\"100,1000,5000,20000\".to_owned()")]
+    changes: String,
+}
+
+const PORT: u16 = 18_190;
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new(3).expect("bounds of the histogram")
+}
+
+fn show(name: &str, spans: &Histogram<u64>, bare: Option<&Histogram<u64>>) {
+    let (p50, p99) = (spans.value_at_quantile(0.5), spans.value_at_quantile(0.99));
+    print!("{name}: p50 {p50} us, p99 {p99} us");
+    if let Some(bare) = bare {
+        let ratio = |q| spans.value_at_quantile(q) as f64 / bare.value_at_quantile(q) as f64;
+        print!("; to bare sync {:.2} and {:.2}", ratio(0.5), ratio(0.99));
+    }
+    println!();
+}
+
+fn record(spans: &mut Histogram<u64>, start: time::Instant) {
+    let micros = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+    spans.record(micros).expect("histogram grows");
+}
+
+/// Appends a record of the size of a small change and syncs, as the log does.
+fn bare_sync(folder: &path::Path, samples: u64) -> io::Result<Histogram<u64>> {
+    fs::create_dir_all(folder)?;
+    let file = fs::File::create(folder.join("bare"))?;
+    let change = [7; 200];
+    let mut spans = histogram();
+    for sample in 0..samples {
+        let start = time::Instant::now();
+        file.write_all_at(&change, sample * change.len() as u64)?;
+        file.sync_data()?;
+        record(&mut spans, start);
+    }
+    Ok(spans)
+}
+
+struct Calls {
+    host: sync::Arc<groups::Host>,
+}
+
+impl server::Handler for Calls {
+    fn call(&self, name: &str, body: Bytes) -> Option<server::ReplyFuture> {
+        self.host.call(name, body)
+    }
+}
+
+/// Control process without entry processes and operators.
+struct Replica {
+    host: sync::Arc<groups::Host>,
+    group: handle::Handle,
+    stop: watch::Sender<bool>,
+}
+
+fn address(number: usize) -> net::SocketAddr {
+    let number = u8::try_from(number + 1).expect("few replicas");
+    (net::Ipv4Addr::new(127, 77, 3, number), PORT).into()
+}
+
+fn members(count: usize) -> Vec<model::Member> {
+    let member = |number| model::Member {
+        name: format!("control-{number}"),
+        region: "north".to_owned(),
+        address: address(number),
+    };
+    (0..count).map(member).collect()
+}
+
+async fn start(folder: &path::Path, number: usize, count: usize) -> io::Result<Replica> {
+    let process = model::Process {
+        name: format!("control-{number}"),
+        zone: "zone-a".to_owned(),
+        region: "north".to_owned(),
+        cluster_token: "token-for-measurements".to_owned(),
+        threads: 2,
+        log_level: "info".to_owned(),
+    };
+    let control = model::Control {
+        listen: address(number),
+        admin: address(number),
+        data: folder.join(format!("control-{number}")),
+        members: members(count),
+        operators: Vec::new(),
+    };
+    if !control.data.exists() {
+        groups::prepare(&process, &control)?;
+    }
+    let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(system::SystemClock::start());
+    let host = groups::Host::new(&process, &control, clock, log::discard());
+    let machine = catalogue::Machine::new(catalogue::Published::new());
+    let name = groups::CATALOGUE;
+    let group = groups::start(&host, name, &control.members, Box::new(machine))?;
+    let calls = sync::Arc::new(Calls {
+        host: sync::Arc::clone(&host),
+    });
+    let service = sync::Arc::new(server::CallService::new(&process.cluster_token, calls));
+    let listener = listen::bind(control.listen).await?;
+    let (stop, stopping) = watch::channel(false);
+    let bounds = listen::Bounds::default();
+    let drain = clock::Millis(100);
+    tokio::spawn(listen::serve(listener, service, bounds, stopping, drain));
+    Ok(Replica { host, group, stop })
+}
+
+async fn stop(replicas: Vec<Replica>) {
+    for replica in &replicas {
+        replica.host.stop().await;
+    }
+    for replica in &replicas {
+        replica.stop.send_replace(true);
+    }
+    // The listeners leave their addresses to the next group.
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+}
+
+async fn leader(replicas: &[Replica]) -> handle::Handle {
+    for _ in 0..2_000 {
+        for replica in replicas {
+            if replica.group.confirm().await.is_ok() {
+                return replica.group.clone();
+            }
+        }
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    panic!("no replica leads");
+}
+
+fn encode(id: String, base: u64, ops: Vec<change::Op>) -> Vec<u8> {
+    let mut change = change::Change {
+        id,
+        base: Some(config::Version(base)),
+        author: "measurement".to_owned(),
+        ops,
+    };
+    // A change that loses a race is decided and stored like any other.
+    change.ops.truncate(1);
+    let wall_ms = system::wall_ms();
+    rmp_serde::to_vec_named(&catalogue::Command { change, wall_ms }).expect("command")
+}
+
+/// Returns change `number`: the first creates a zone, the others take it out and in again.
+fn command(number: u64) -> Vec<u8> {
+    let name = "zone-a".to_owned();
+    let op = match number {
+        0 => change::Op::PutZone {
+            zone: spec::ZoneSpec {
+                name,
+                region: "north".to_owned(),
+            },
+        },
+        n if n % 2 == 1 => change::Op::ZoneOut { name },
+        _ => change::Op::ZoneIn { name },
+    };
+    encode(format!("change-{number}"), number, vec![op])
+}
+
+async fn sequential(group: &handle::Handle, samples: u64) -> Histogram<u64> {
+    let mut spans = histogram();
+    for number in 0..samples {
+        let start = time::Instant::now();
+        let reply = group.propose(command(number)).await;
+        reply.expect("change is accepted");
+        record(&mut spans, start);
+    }
+    spans
+}
+
+/// Keeps `width` proposals waiting; returns the commits per second and their latency.
+async fn concurrent(group: &handle::Handle, width: u64, samples: u64) -> (f64, Histogram<u64>) {
+    let begin = time::Instant::now();
+    let mut tasks = tokio::task::JoinSet::new();
+    let each = samples.div_ceil(width);
+    for worker in 0..width {
+        let group = group.clone();
+        tasks.spawn(async move {
+            let mut spans = histogram();
+            for number in 0..each {
+                let id = format!("load-{width}-{worker}-{number}");
+                let start = time::Instant::now();
+                let reply = group.propose(encode(id, 1, Vec::new())).await;
+                reply.expect("change is decided");
+                record(&mut spans, start);
+            }
+            spans
+        });
+    }
+    let mut spans = histogram();
+    while let Some(part) = tasks.join_next().await {
+        spans.add(part.expect("task ends")).expect("same bounds");
+    }
+    let rate = (each * width) as f64 / begin.elapsed().as_secs_f64();
+    (rate, spans)
+}
+
+async fn measure_group(args: &Args, count: usize) -> io::Result<()> {
+    let folder = args.folder.join(format!("group-{count}"));
+    let mut replicas = Vec::new();
+    for number in 0..count {
+        replicas.push(start(&folder, number, count).await?);
+    }
+    let group = leader(&replicas).await;
+    let bare = bare_sync(&folder, args.samples)?;
+    show(&format!("bare sync before group of {count}"), &bare, None);
+    let spans = sequential(&group, args.samples).await;
+    show(&format!("commit, group of {count}"), &spans, Some(&bare));
+    let bare_rate = 1e6 / bare.value_at_quantile(0.5) as f64;
+    for width in [8, 64, 256] {
+        let samples = args.samples.max(width) * 4;
+        let (rate, spans) = concurrent(&group, width, samples).await;
+        show(
+            &format!("commit, group of {count}, {width} waiting"),
+            &spans,
+            Some(&bare),
+        );
+        let shared = rate / bare_rate;
+        println!("  {rate:.0} commits/s, {shared:.1} for each bare sync time");
+    }
+    stop(replicas).await;
+    Ok(())
+}
+
+async fn measure_recovery(args: &Args, changes: u64) -> io::Result<()> {
+    let folder = args.folder.join(format!("recovery-{changes}"));
+    let replicas = vec![start(&folder, 0, 1).await?];
+    let group = leader(&replicas).await;
+    for number in 0..changes {
+        group.propose(command(number)).await.expect("accepted");
+    }
+    stop(replicas).await;
+    let data = folder.join("control-0").join(groups::CATALOGUE);
+    let mut size_bytes = 0;
+    for entry in fs::read_dir(data)? {
+        size_bytes += entry?.metadata()?.len();
+    }
+    let mut spans = histogram();
+    for _ in 0..5 {
+        let begin = time::Instant::now();
+        let replicas = vec![start(&folder, 0, 1).await?];
+        drop(leader(&replicas).await);
+        record(&mut spans, begin);
+        stop(replicas).await;
+    }
+    let (p50, most) = (spans.value_at_quantile(0.5), spans.max());
+    println!("recovery of {changes} changes, {size_bytes} bytes: median {p50} us, most {most} us");
+    Ok(())
+}
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 4)]
+async fn main() -> io::Result<()> {
+    let args: Args = argh::from_env();
+    fs::create_dir_all(&args.folder)?;
+    measure_group(&args, 1).await?;
+    measure_group(&args, 3).await?;
+    for changes in args.changes.split(',') {
+        let changes = changes.trim().parse().map_err(io::Error::other)?;
+        measure_recovery(&args, changes).await?;
+    }
+    fs::remove_dir_all(&args.folder)
+}
