--- a/crates/verifier/src/lib.rs
+++ b/crates/verifier/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod catalogue;
 pub mod grants;
+pub mod history;
 pub mod ledger;
