--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -107,8 +107,8 @@
 #[test]
 fn message_names_file_offset_and_what_was_expected() {
     let (disk, _) = model::filled();
-    let segments = names(&disk).into_iter().filter(|n| n.starts_with("log-"));
-    let name = segments.last().expect("segment");
+    let mut segments = names(&disk).into_iter().filter(|n| n.starts_with("log-"));
+    let name = segments.next_back().expect("segment");
     disk.flip(&name, 100, 1);
     let err = model::open(&disk).map(drop).expect_err("damage");
     let text = err.to_string();
