Use signals, grants, limits and budgets on the path of a request

Cause: the path chose by its own in-flight count, sent to cold servers like to any other, knew no limits and no deadline, and retried unsent requests only.

The sync now carries grants of cold servers, server states that answers told of and shares of limits; the leader keeps them beside the hub in tables of its term. A server that an answer names cold stays cold in the hub although its announcements go on saying warm, until the holder of its grant hears that it is warm, at least 2 s later. proxy.rs is split: check.rs (rules and admission), attempt.rs (choice, retries, hedges), flight.rs (counts and samples of one send), live.rs (what outlives a view), meter.rs (bytes of answers). New connections are paced at half of what a server accepts, shared by all entry processes. The syncs stay within the measuring budget.

Ruled out: giving a read to a cold server by the policy, which would need a grant per candidate; a returning server announced cold is listed apart.

--- a/crates/choice/src/policy.rs
+++ b/crates/choice/src/policy.rs
@@ -48,7 +48,7 @@
         let bit = 1_u64.checked_shl(region).unwrap_or(0);
         !candidate.is_cold
             && !candidate.signal.is_heard_cold()
-            && !candidate.signal.is_heard_draining()
+            && !candidate.signal.is_heard_draining(self.now)
             && self.regions_mask & bit != 0
             && !self.tried.contains(&candidate.server)
     }
--- a/crates/choice/src/signal.rs
+++ b/crates/choice/src/signal.rs
@@ -18,6 +18,9 @@
 /// Time without a sample in which the error rate halves; it bounds how often a failing server is
 /// tried again.
 pub const ERROR_HALF_LIFE_MS: u64 = 5_000;
+/// Time for which a report that names the server draining keeps requests away; the announcement of
+/// it, or the end of its lease, comes sooner.
+const DRAINING_HEARD_MS: u64 = 6_000;
 /// Error rate of a server whose every answer is an error.
 pub const ERROR_ONE: u32 = 1 << 16;
 
@@ -35,8 +38,7 @@
     latency_us: atomic::AtomicU64,
     errors: atomic::AtomicU64,
     warm_since_ms: atomic::AtomicU64,
-    is_heard_cold: atomic::AtomicBool,
-    is_heard_draining: atomic::AtomicBool,
+    heard: atomic::AtomicU64,
 }
 
 impl Signal {
@@ -68,10 +70,7 @@
         self.others
             .store(pack(now, present.saturating_sub(own)), Relaxed);
         if let Some(state) = report.state {
-            self.is_heard_cold
-                .store(state == report::State::Cold, Relaxed);
-            self.is_heard_draining
-                .store(state == report::State::Draining, Relaxed);
+            self.heard.store(pack(now, state as u32 + 1), Relaxed);
         }
     }
 
@@ -126,19 +125,30 @@
         clock::Millis(self.warm_since_ms.load(Relaxed))
     }
 
+    fn has_heard(&self, state: report::State) -> bool {
+        unpack(self.heard.load(Relaxed)).1 == state as u32 + 1
+    }
+
     /// Returns whether the last report named the server cold.
     pub fn is_heard_cold(&self) -> bool {
-        self.is_heard_cold.load(Relaxed)
+        self.has_heard(report::State::Cold)
+    }
+
+    /// Returns whether the last report named the server warm.
+    pub fn is_heard_warm(&self) -> bool {
+        self.has_heard(report::State::Warm)
     }
 
-    /// Forgets that the server was named cold, once the directory says so itself.
-    pub fn clear_heard_cold(&self) {
-        self.is_heard_cold.store(false, Relaxed);
+    /// Returns whether a recent report named the server draining; an old one is forgotten, since a
+    /// server without requests sends no other.
+    pub fn is_heard_draining(&self, now: clock::Millis) -> bool {
+        let (at, _) = unpack(self.heard.load(Relaxed));
+        self.has_heard(report::State::Draining) && now.since(at).0 < DRAINING_HEARD_MS
     }
 
-    /// Returns whether a report or a connection showed that the server takes no new work.
-    pub fn is_heard_draining(&self) -> bool {
-        self.is_heard_draining.load(Relaxed)
+    /// Forgets the state that a report named, once the directory names a new one.
+    pub fn clear_heard(&self) {
+        self.heard.store(0, Relaxed);
     }
 
     /// Returns other processes' requests at the server by its last report, aged, in thousandths.
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -4,6 +4,7 @@
 //! answered; this module waits, asks the quorum and joins both with the catalogue.
 
 use crate::catalogue;
+use crate::leader;
 use nutmegdale_base::clock;
 use nutmegdale_catalogue::{audit, diff};
 use nutmegdale_membership::{directory, hold, hub};
@@ -29,6 +30,7 @@
     published: sync::Arc<catalogue::Published>,
     state: sync::Mutex<State>,
     marks: watch::Sender<hub::Marks>,
+    freed: watch::Sender<()>,
 }
 
 /// Soft state of one term.
@@ -38,6 +40,8 @@
     pub table: hub::HubTable,
     /// Counts of what entry processes did.
     pub audit: audit::Ledger,
+    /// Grants and shares.
+    pub leader: leader::Leader,
     confirmed: clock::Millis,
 }
 
@@ -46,6 +50,7 @@
         State {
             table: hub::HubTable::new(epoch, now),
             audit: audit::Ledger::default(),
+            leader: leader::Leader::new(epoch, now),
             confirmed: now,
         }
     }
@@ -66,6 +71,7 @@
             published,
             state,
             marks: watch::Sender::new(hub::Marks::default()),
+            freed: watch::Sender::new(()),
         }
     }
 
@@ -177,6 +183,10 @@
         state
             .audit
             .take(&req.entry.name, req.entry.boot, &req.audit);
+        let State { table, leader, .. } = &mut *state;
+        if leader.take(now, req, table) {
+            self.freed.send_replace(());
+        }
         self.publish(state.table.marks());
         wants_all
     }
@@ -184,15 +194,18 @@
     async fn hold(&self, arrived: clock::Millis, req: &message::SyncRequest) {
         let mut versions = self.published.subscribe();
         let mut marks = self.marks.subscribe();
+        let mut freed = self.freed.subscribe();
         let held = hold::Held {
             arrived,
             last_answer: self.state().table.last_answer(&req.entry.name),
             may_hold: req.may_hold,
         };
         loop {
-            let has_news = *versions.borrow_and_update() > req.version.0
-                || hold::has_news(*marks.borrow_and_update(), req.position);
+            freed.mark_unchanged();
             let now = self.clock.now();
+            let has_news = self.state().leader.has_free(now, req)
+                || *versions.borrow_and_update() > req.version.0
+                || hold::has_news(*marks.borrow_and_update(), req.position);
             match hold::next(now, held, has_news) {
                 hold::Next::Answer => return,
                 hold::Next::Gather(until) => sleep(until.since(now)).await,
@@ -200,6 +213,7 @@
                     () = sleep(until.since(now)) => {}
                     _ = versions.changed() => {}
                     _ = marks.changed() => {}
+                    _ = freed.changed() => {}
                 },
             }
         }
@@ -225,6 +239,8 @@
             update,
             delta: directory::Delta::collect(&state.table, req.position),
             wants_all,
+            grants: state.leader.grant(now, req),
+            shares: state.leader.shares_of(&req.entry.name, &state.table),
         }))
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod founding;
 pub mod groups;
 pub mod hub;
+pub mod leader;
 mod members;
 pub mod peers;
 pub mod service;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -3,17 +3,19 @@
 //! Invariant: a request is sent only with a [`permit::Permit`] for the server's region, and an
 //! attempt is `NotRun` only if no byte of it was written or the server stated that it did not run.
 
+use crate::flight;
 use crate::head;
 use crate::pool;
-use crate::snapshot;
 use bytes::Bytes;
 use hyper::body;
-use nutmegdale_base::{entity, outcome};
-use nutmegdale_routing::permit;
+use hyper::header as http;
+use nutmegdale_admission::deadline;
+use nutmegdale_base::{clock, outcome};
+use nutmegdale_choice::report;
 use nutmegdale_rpc::listen;
 use std::pin;
-use std::sync;
 use std::task;
+use std::time;
 
 /// Result of one attempt.
 #[derive(Debug)]
@@ -26,80 +28,119 @@
     Unknown(outcome::Reason),
 }
 
-/// Counts a request at a server from its sending to the end of its answer.
-#[derive(Debug)]
-struct InFlight {
-    live: sync::Arc<snapshot::Live>,
-}
-
-impl InFlight {
-    fn begin(live: &sync::Arc<snapshot::Live>) -> InFlight {
-        live.signal.begin();
-        InFlight {
-            live: sync::Arc::clone(live),
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.live.signal.end();
-    }
-}
-
-/// Sends `req` to `server`, which must lie in the region of the permit.
+/// Sends `req` to the server of `flight` within the deadline.
+///
+/// `may_send` is asked once a connection is there, right before the first byte.
 pub async fn send(
-    snapshot: &snapshot::Snapshot,
-    server: entity::Server,
-    permit: permit::Permit,
-    req: hyper::Request<listen::Body>,
+    mut flight: flight::Flight,
+    mut req: hyper::Request<listen::Body>,
+    deadline: deadline::Deadline,
+    may_send: impl Fn() -> Result<(), outcome::Reason>,
 ) -> Attempt {
-    if snapshot.view.servers[server].region != permit.region() {
-        return Attempt::NotRun(outcome::Reason::HomeRegion, Some(req));
-    }
-    let live = &snapshot.live[server];
-    let in_flight = InFlight::begin(live);
-    let mut sender = match live.pool.checkout().await {
-        Ok(sender) => sender,
-        Err(pool::Error::Full) => return Attempt::NotRun(outcome::Reason::Overload, Some(req)),
-        Err(pool::Error::Connect) => return Attempt::NotRun(outcome::Reason::Connect, Some(req)),
+    use outcome::Reason;
+    let Some(left) = deadline.left(flight.now()) else {
+        flight.unsent();
+        return Attempt::NotRun(Reason::Deadline, Some(req));
+    };
+    let checkout = flight.live.pool.checkout(flight.clock.as_ref());
+    let mut sender = match tokio::time::timeout(span(left), checkout).await {
+        Ok(Ok(sender)) => sender,
+        Ok(Err(pool::Error::Full)) => {
+            flight.unsent();
+            return Attempt::NotRun(Reason::Overload, Some(req));
+        }
+        Ok(Err(pool::Error::Connect)) => {
+            flight.failed();
+            flight.unsent();
+            return Attempt::NotRun(Reason::Connect, Some(req));
+        }
+        Err(_) => {
+            flight.unsent();
+            return Attempt::NotRun(Reason::Deadline, Some(req));
+        }
     };
-    let response = match sender.try_send_request(req).await {
-        Ok(response) => response,
-        Err(mut err) => {
+    let left = deadline.left(flight.now());
+    let stop = match left {
+        None => Err(Reason::Deadline),
+        Some(_) => may_send(),
+    };
+    if let Err(reason) = stop {
+        flight.unsent();
+        flight.live.pool.checkin(sender);
+        return Attempt::NotRun(reason, Some(req));
+    }
+    let left = left.unwrap_or(clock::Millis::ZERO);
+    req.headers_mut()
+        .insert(&head::DEADLINE_MS, http::HeaderValue::from(left.0));
+    let sent = sender.try_send_request(req);
+    let response = match tokio::time::timeout(span(left), sent).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(mut err)) => {
+            flight.failed();
             return match err.take_message() {
-                Some(req) => Attempt::NotRun(outcome::Reason::Connect, Some(req)),
-                None => Attempt::Unknown(outcome::Reason::BrokenAnswer),
+                Some(req) => {
+                    flight.unsent();
+                    Attempt::NotRun(Reason::Connect, Some(req))
+                }
+                None => Attempt::Unknown(Reason::BrokenAnswer),
             };
         }
+        // The dropped sender closes the connection, which cancels the request at the server.
+        Err(_) => return Attempt::Unknown(Reason::Deadline),
     };
-    let is_refused = response
-        .headers()
-        .get(&head::REFUSED)
-        .is_some_and(|v| v == "not-run");
-    if is_refused {
-        return Attempt::NotRun(outcome::Reason::ServerRefused, None);
+    flight.report(load_report(response.headers()));
+    let refused = response.headers().get(&head::REFUSED);
+    if refused.is_some_and(|value| value == "not-run") {
+        flight.failed();
+        flight.unsent();
+        return Attempt::NotRun(Reason::ServerRefused, None);
+    }
+    if response.status().is_server_error() {
+        flight.failed();
+    } else {
+        flight.succeeded();
     }
-    let stream = |incoming| AnswerBody {
+    let body = |incoming| AnswerBody {
         incoming,
-        rest: Some((in_flight, sender)),
+        bound: flight.bound(),
+        rest: Some((flight, sender)),
     };
-    Attempt::Answered(response.map(|incoming| listen::Body::new(stream(incoming))))
+    Attempt::Answered(response.map(|incoming| listen::Body::new(body(incoming))))
+}
+
+fn span(left: clock::Millis) -> time::Duration {
+    time::Duration::from_millis(left.0)
+}
+
+fn load_report(headers: &http::HeaderMap) -> Option<report::Report> {
+    report::Report::parse(headers.get(&head::LOAD)?.to_str().ok()?)
 }
 
 /// Body of a server's answer; its connection returns to the pool only after its end.
 #[derive(Debug)]
 struct AnswerBody {
     incoming: body::Incoming,
-    rest: Option<(InFlight, pool::Sender)>,
+    /// Longest time of the answer of a cold server, whose grant counts on it.
+    bound: Option<pin::Pin<Box<tokio::time::Sleep>>>,
+    rest: Option<(flight::Flight, pool::Sender)>,
 }
 
 impl AnswerBody {
     fn finish(&mut self) {
-        if let Some((in_flight, sender)) = self.rest.take() {
-            in_flight.live.pool.checkin(sender);
+        if let Some((mut flight, sender)) = self.rest.take() {
+            flight.ended();
+            flight.live.pool.checkin(sender);
         }
     }
+
+    fn poll_bound(&mut self, cx: &mut task::Context<'_>) -> Result<(), listen::BodyError> {
+        if let Some(sleep) = &mut self.bound
+            && sleep.as_mut().poll(cx).is_ready()
+        {
+            return Err("answer of a cold server takes too long".into());
+        }
+        Ok(())
+    }
 }
 
 impl body::Body for AnswerBody {
@@ -110,6 +151,9 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, listen::BodyError>>> {
+        if let Err(err) = self.poll_bound(cx) {
+            return task::Poll::Ready(Some(Err(err)));
+        }
         let polled = task::ready!(pin::Pin::new(&mut self.incoming).poll_frame(cx));
         match polled {
             Some(Ok(frame)) => {
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -16,6 +16,10 @@
 pub static REASON: http::HeaderName = http::HeaderName::from_static(header::REASON);
 /// Name of the refusal header of servers.
 pub static REFUSED: http::HeaderName = http::HeaderName::from_static(header::REFUSED);
+/// Name of the load report header of servers.
+pub static LOAD: http::HeaderName = http::HeaderName::from_static(header::LOAD);
+/// Name of the deadline header.
+pub static DEADLINE_MS: http::HeaderName = http::HeaderName::from_static(header::DEADLINE_MS);
 
 static KEEP_ALIVE: http::HeaderName = http::HeaderName::from_static("keep-alive");
 static PROXY_CONNECTION: http::HeaderName = http::HeaderName::from_static("proxy-connection");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,10 +5,16 @@
 //! module that sends a request to a server. Decisions lie in the pure crates. See
 //! [docs/design.md](../../../docs/design.md), sections 6 and 8.
 
+pub mod asks;
+pub mod attempt;
 pub mod audit;
+pub mod check;
+pub mod flight;
 pub mod follow;
 pub mod forward;
 pub mod head;
+pub mod live;
+pub mod meter;
 pub mod pool;
 pub mod proxy;
 pub mod reserved;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -2,10 +2,13 @@
 
 use crossbeam_queue::ArrayQueue;
 use hyper::client::conn::http1;
+use nutmegdale_admission::bucket;
+use nutmegdale_base::clock;
 use nutmegdale_rpc::listen;
 use std::net;
 use std::sync;
 use std::sync::atomic;
+use std::time;
 use tokio::net::TcpStream;
 
 /// Sender of requests on one connection.
@@ -17,6 +20,12 @@
 /// covers entry processes that have started but are not listed yet.
 const USABLE_PERCENT: u32 = 90;
 
+/// Connections per second that all entry processes together open to one server: half of what it
+/// accepts at about 1 ms for each.
+const OPENED_PER_SEC: u64 = 500;
+/// Connections that one entry process opens to a server at once.
+const OPENED_BURST_COUNT: u64 = 4;
+
 /// Why no connection could be had.
 #[derive(Debug)]
 pub enum Error {
@@ -33,6 +42,9 @@
     idle: ArrayQueue<Sender>,
     open: sync::Arc<atomic::AtomicU32>,
     share: atomic::AtomicU32,
+    entries_count: atomic::AtomicU32,
+    pace: bucket::Bucket,
+    returned: tokio::sync::Notify,
 }
 
 /// Open connection, counted until it is dropped.
@@ -55,6 +67,9 @@
             idle: ArrayQueue::new(IDLE_MAX_COUNT),
             open: sync::Arc::default(),
             share: atomic::AtomicU32::new(1),
+            entries_count: atomic::AtomicU32::new(1),
+            pace: bucket::Bucket::new(),
+            returned: tokio::sync::Notify::new(),
         }
     }
 
@@ -64,20 +79,42 @@
         let share = (connections / 100 * USABLE_PERCENT + connections % 100 * USABLE_PERCENT / 100)
             / entries;
         self.share.store(share.max(1), atomic::Ordering::Relaxed);
+        self.entries_count.store(entries, atomic::Ordering::Relaxed);
     }
 
-    /// Returns an idle connection or opens one.
+    /// Returns an idle connection or opens one, at a bounded pace.
     ///
     /// # Errors
     ///
     /// In both cases nothing was sent to the server.
-    pub async fn checkout(&self) -> Result<Sender, Error> {
-        while let Some(mut sender) = self.idle.pop() {
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
+    pub async fn checkout(&self, clock: &dyn clock::Clock) -> Result<Sender, Error> {
+        loop {
+            while let Some(mut sender) = self.idle.pop() {
+                if sender.ready().await.is_ok() {
+                    return Ok(sender);
+                }
+            }
+            let count = self.count_open()?;
+            let Err(wait) = self.pace.take(clock.now(), 1, self.pace_rate()) else {
+                return self.open(count).await;
+            };
+            drop(count);
+            tokio::select! {
+                () = self.returned.notified() => {}
+                () = tokio::time::sleep(time::Duration::from_millis(wait.0)) => {}
             }
         }
-        let count = self.count_open()?;
+    }
+
+    fn pace_rate(&self) -> bucket::Rate {
+        let entries = self.entries_count.load(atomic::Ordering::Relaxed);
+        bucket::Rate {
+            per_sec: (OPENED_PER_SEC / u64::from(entries.max(1))).max(1),
+            burst: OPENED_BURST_COUNT,
+        }
+    }
+
+    async fn open(&self, count: OpenCount) -> Result<Sender, Error> {
         let connect = async {
             let stream = TcpStream::connect(self.address).await.ok()?;
             stream.set_nodelay(true).ok()?;
@@ -109,6 +146,7 @@
     pub fn checkin(&self, sender: Sender) {
         // A full queue drops the connection, which closes it.
         drop(self.idle.push(sender));
+        self.returned.notify_one();
     }
 
     /// Returns the number of open connections.
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -1,9 +1,11 @@
 //! The entry role of a process.
 
 use crate::{audit, proxy, reserved, snapshot, sync as syncer};
+use nutmegdale_admission::{bulk, measuring};
 use nutmegdale_base::clock;
 use nutmegdale_catalogue::config;
-use nutmegdale_choice::p2c;
+use nutmegdale_choice::least_cost;
+use nutmegdale_grants::holder;
 use nutmegdale_membership::{directory, local};
 use nutmegdale_routing::view;
 use nutmegdale_rpc::listen;
@@ -35,7 +37,10 @@
     let shared = sync::Arc::new(proxy::Shared {
         clock,
         published: snapshot::Published::new(empty_snapshot(process)),
-        policy: Box::new(p2c::PowerOfTwo),
+        policy: Box::new(least_cost::LeastCost::default()),
+        bulk_link: sync::Arc::new(bulk::BulkLink::new()),
+        measuring: measuring::Budget::new(entry.measuring_bytes_per_second),
+        heard: sync::Arc::new(tokio::sync::Notify::new()),
         reserved: reserved::Reserved {
             local: sync::Mutex::new(local::LocalTable::new()),
             local_changed: watch::Sender::new(()),
@@ -81,5 +86,7 @@
         &directory::Directory::new(),
         place,
     );
-    snapshot::Builder::new().build(view, audit::Counts::default())
+    let mut holder = holder::Holder::new();
+    let counts = audit::Counts::default();
+    snapshot::Builder::new().build(clock::Millis::ZERO, view, counts, &mut holder)
 }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -1,44 +1,52 @@
-//! What the path of a request reads: a view, its lease and the live part of each server.
+//! What the path of a request reads: a view, its lease and the live parts beside it.
 
 use crate::audit;
-use crate::pool;
+use crate::live;
 use arc_swap::ArcSwap;
+use nutmegdale_admission::limit;
 use nutmegdale_base::{clock, entity};
-use nutmegdale_choice::{policy, signal};
+use nutmegdale_choice::policy;
+use nutmegdale_grants::holder;
 use nutmegdale_membership::announcement;
 use nutmegdale_routing::view;
-use std::collections;
 use std::sync;
 use std::sync::atomic;
 
-/// Part of a server that outlives a view: its load signal and connections.
-#[derive(Debug)]
-pub struct Live {
-    /// Load signal.
-    pub signal: sync::Arc<signal::Signal>,
-    /// Connections to this start of the server.
-    pub pool: pool::Pool,
-}
-
-/// View with the live parts of its servers.
+/// View with the live parts of what it lists.
 #[derive(Debug)]
 pub struct Snapshot {
     /// The view.
     pub view: view::View,
     /// Live part of each server.
-    pub live: entity::PrimaryMap<entity::Server, sync::Arc<Live>>,
-    /// Candidates of each service.
+    pub live: entity::PrimaryMap<entity::Server, sync::Arc<live::Server>>,
+    /// Live part of each service.
+    pub services: entity::PrimaryMap<entity::Service, sync::Arc<live::Service>>,
+    /// Limiter of each route.
+    pub route_limits: entity::PrimaryMap<entity::Route, sync::Arc<limit::Limiter>>,
+    /// Limiter of each account.
+    pub account_limits: entity::PrimaryMap<entity::Account, sync::Arc<limit::Limiter>>,
+    /// Candidates of each service, ordered by distance.
     pub candidates: entity::PrimaryMap<entity::Service, Vec<policy::Candidate>>,
+    /// Cold servers of each service, ordered by distance.
+    pub cold: entity::PrimaryMap<entity::Service, Vec<entity::Server>>,
     /// Counters for the audit.
     pub counts: audit::Counts,
 }
 
-type LiveKey = (String, u64);
+/// Returns the name under which the limit of a route is shared among entry processes.
+pub fn route_limit_name(route: &view::RouteView) -> String {
+    format!("route:{}", route.name)
+}
+
+/// Returns the name under which the limit of an account is shared among entry processes.
+pub fn account_limit_name(account: &view::AccountView) -> String {
+    format!("account:{}", account.name)
+}
 
 /// Keeps live parts across views.
 #[derive(Debug, Default)]
 pub struct Builder {
-    live: collections::HashMap<LiveKey, sync::Arc<Live>>,
+    live: live::Table,
 }
 
 impl Builder {
@@ -47,57 +55,71 @@
         Builder::default()
     }
 
-    /// Joins a view with the live parts of its servers and drops those of servers that are gone.
-    pub fn build(&mut self, view: view::View, counts: audit::Counts) -> Snapshot {
+    /// Joins a view with the live parts of what it lists.
+    pub fn build(
+        &mut self,
+        now: clock::Millis,
+        view: view::View,
+        counts: audit::Counts,
+        holder: &mut holder::Holder,
+    ) -> Snapshot {
+        self.live.sweep();
         let entries_count = view.entries.len().max(1);
-        let mut kept = collections::HashMap::new();
-        let mut live = entity::PrimaryMap::new();
+        let mut snapshot = Snapshot {
+            live: entity::PrimaryMap::new(),
+            services: entity::PrimaryMap::new(),
+            route_limits: entity::PrimaryMap::new(),
+            account_limits: entity::PrimaryMap::new(),
+            candidates: entity::PrimaryMap::new(),
+            cold: entity::PrimaryMap::new(),
+            counts,
+            view,
+        };
+        let view = &snapshot.view;
         for server in view.servers.values() {
-            // A new start of a server begins with a new signal and no connections.
-            let key = (server.name.clone(), server.incarnation);
-            let part = match self.live.remove(&key) {
-                Some(part) => part,
-                None => sync::Arc::new(Live {
-                    signal: sync::Arc::new(signal::Signal::new()),
-                    pool: pool::Pool::new(server.address),
-                }),
-            };
-            part.pool.set_share(server.connections, entries_count);
-            kept.insert(key, sync::Arc::clone(&part));
-            live.push(part);
+            let part = self.live.server(now, server, entries_count, holder);
+            snapshot.live.push(part);
         }
-        self.live = kept;
-        let mut candidates = entity::PrimaryMap::new();
         for service in view.services.values() {
-            let list = service
-                .servers
-                .iter()
-                .map(|server| candidate(&view, &live, *server));
-            candidates.push(list.collect());
+            snapshot.services.push(self.live.service(view, service));
+            let (warm, cold) = candidates(view, &snapshot.live, service);
+            snapshot.candidates.push(warm);
+            snapshot.cold.push(cold);
         }
-        Snapshot {
-            view,
-            live,
-            candidates,
-            counts,
+        for route in view.routes.values() {
+            let name = route_limit_name(route);
+            let limiter = self.live.limiter(name, entries_count);
+            snapshot.route_limits.push(limiter);
+        }
+        for account in view.accounts.values() {
+            let name = account_limit_name(account);
+            let limiter = self.live.limiter(name, entries_count);
+            snapshot.account_limits.push(limiter);
         }
+        snapshot
     }
 }
 
-fn candidate(
+/// Returns the warm servers of a service as candidates, and its cold ones, nearest first.
+fn candidates(
     view: &view::View,
-    live: &entity::PrimaryMap<entity::Server, sync::Arc<Live>>,
-    key: entity::Server,
-) -> policy::Candidate {
-    let server = &view.servers[key];
-    policy::Candidate {
+    live: &entity::PrimaryMap<entity::Server, sync::Arc<live::Server>>,
+    service: &view::ServiceView,
+) -> (Vec<policy::Candidate>, Vec<entity::Server>) {
+    let mut servers = service.servers.clone();
+    servers.sort_by_key(|server| view.servers[*server].distance);
+    let is_cold =
+        |server: &entity::Server| view.servers[*server].state == announcement::ServerState::Cold;
+    let (cold, warm): (Vec<_>, Vec<_>) = servers.into_iter().partition(is_cold);
+    let candidate = |key: entity::Server| policy::Candidate {
         server: key,
-        region: server.region,
-        distance: server.distance as u8,
-        slots: server.slots,
-        is_cold: server.state == announcement::ServerState::Cold,
+        region: view.servers[key].region,
+        distance: view.servers[key].distance as u8,
+        slots: view.servers[key].slots,
+        is_cold: false,
         signal: sync::Arc::clone(&live[key].signal),
-    }
+    };
+    (warm.into_iter().map(candidate).collect(), cold)
 }
 
 /// Published snapshot with its lease.
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -3,15 +3,18 @@
 //! Invariant: the configuration lease is extended only after the snapshot that a quorum confirmed
 //! is published, counted from the sending of the sync.
 
+use crate::asks;
 use crate::audit;
 use crate::follow;
 use crate::proxy;
 use crate::snapshot;
+use nutmegdale_admission::measuring;
 use nutmegdale_base::clock;
 use nutmegdale_membership::hub;
 use nutmegdale_routing::view;
-use nutmegdale_rpc::{client, message};
+use nutmegdale_rpc::{client, error, message};
 use nutmegdale_settings::model;
+use std::mem;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -30,6 +33,11 @@
 /// Time for which syncs go through a follower after the leader could not be reached.
 const RELAY_MS: clock::Millis = clock::Millis(30_000);
 
+/// Bytes of the heads of a call and its answer.
+const HEAD_BYTES: u64 = 300;
+/// Longest pause for the measuring budget, after which it is asked again.
+const BUDGET_PAUSE_MS: u64 = 500;
+
 /// State of the sync of one entry process.
 #[allow(missing_debug_implementations)] // Holds trait objects.
 pub struct Syncer {
@@ -41,6 +49,7 @@
     follower: follow::Follower,
     builder: snapshot::Builder,
     audit: audit::Audit,
+    asks: asks::Asks,
     peer: usize,
     leader: Option<net::SocketAddr>,
     relay_until: clock::Millis,
@@ -63,6 +72,7 @@
             follower: follow::Follower::new(),
             builder: snapshot::Builder::new(),
             audit: audit::Audit::new(),
+            asks: asks::Asks::new(),
             peer: 0,
             leader: None,
             relay_until: clock::Millis::ZERO,
@@ -71,6 +81,7 @@
 
     /// Syncs until `stop` turns true.
     pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        let shared = sync::Arc::clone(&self.shared);
         let mut local_changed = self.shared.reserved.local_changed.subscribe();
         while !*stop.borrow() {
             local_changed.mark_unchanged();
@@ -86,6 +97,7 @@
                 // A held sync is given up, so that a local change travels at once. One that
                 // carries changes is not: under steady changes no sync would ever end.
                 _ = local_changed.changed(), if may_hold => true,
+                () = shared.heard.notified() => true,
                 _ = stop.changed() => break,
             };
             let gather = GATHER_MS.since(self.shared.clock.now().since(started));
@@ -106,6 +118,7 @@
             address: self.entry.listen,
             leaving: self.shared.is_stopping.load(atomic::Ordering::Relaxed),
         };
+        let asked = self.asks.collect(now, &self.shared.published.load());
         let announced = self.follower.announced(&self.shared.reserved.local());
         let req = message::SyncRequest {
             entry,
@@ -113,6 +126,9 @@
             position: self.follower.directory().position(),
             changed: announced.changed,
             is_all: announced.is_all,
+            heard: asked.heard,
+            grants: asked.grants,
+            demands: asked.demands,
             may_hold,
             may_forward: now < self.relay_until,
             is_forwarded: false,
@@ -122,24 +138,23 @@
     }
 
     async fn sync(&mut self, may_hold: bool) -> bool {
-        let sent = self.shared.clock.now();
-        let (req, change) = self.request(sent, may_hold);
+        let now = self.shared.clock.now();
+        let (req, change) = self.request(now, may_hold);
         let peer = match self.leader {
             Some(leader) => leader,
             None => self.entry.control[self.peer % self.entry.control.len()],
         };
-        let reply = self.client.call(peer, "sync", &req, SYNC_TIMEOUT_MS).await;
-        match reply {
-            Ok(message::SyncReply::Confirmed(confirmed)) => {
+        match self.call(peer, &req).await {
+            Ok((sent, message::SyncReply::Confirmed(confirmed))) => {
                 if confirmed.wants_all {
                     // Another leader has no counts yet.
                     self.audit.forget_acked();
                 } else {
                     self.audit.ack(&req.audit);
                 }
-                self.take(sent, change, *confirmed)
+                self.take(sent, change, &req, *confirmed)
             }
-            Ok(message::SyncReply::NotLeader { leader }) => {
+            Ok((_, message::SyncReply::NotLeader { leader })) => {
                 self.next_peer(leader);
                 false
             }
@@ -154,6 +169,35 @@
         }
     }
 
+    /// Sends a sync within the measuring budget and returns when it was sent, with the answer.
+    async fn call(
+        &self,
+        peer: net::SocketAddr,
+        req: &message::SyncRequest,
+    ) -> error::Result<(clock::Millis, message::SyncReply)> {
+        // The settings name no region of a control process, so the paid link is assumed.
+        let reach = measuring::Reach::CrossRegion;
+        let body = client::Client::encode(req)?;
+        self.reserve(reach, body.len() as u64 + HEAD_BYTES).await;
+        let sent = self.shared.clock.now();
+        let call = self.client.call_bytes(peer, "sync", body, SYNC_TIMEOUT_MS);
+        let reply = call.await?;
+        let bytes = reply.len() as u64 + HEAD_BYTES;
+        self.shared
+            .measuring
+            .answered(self.shared.clock.now(), reach, bytes);
+        Ok((sent, client::Client::decode(&reply)?))
+    }
+
+    /// Waits until the measuring budget allows a message.
+    async fn reserve(&self, reach: measuring::Reach, bytes: u64) {
+        let budget = &self.shared.measuring;
+        while let Err(wait) = budget.take(self.shared.clock.now(), reach, bytes) {
+            let pause_ms = wait.0.min(BUDGET_PAUSE_MS);
+            tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+        }
+    }
+
     fn next_peer(&mut self, leader: Option<net::SocketAddr>) {
         self.leader = leader.filter(|address| self.entry.control.contains(address));
         if self.leader.is_none() {
@@ -161,7 +205,15 @@
         }
     }
 
-    fn take(&mut self, sent: clock::Millis, change: u64, reply: message::Confirmed) -> bool {
+    fn take(
+        &mut self,
+        sent: clock::Millis,
+        change: u64,
+        req: &message::SyncRequest,
+        mut reply: message::Confirmed,
+    ) -> bool {
+        let granted = mem::take(&mut reply.grants);
+        let given = mem::take(&mut reply.shares);
         let before = self.follower.config().version;
         let taken = {
             let mut local = self.shared.reserved.local();
@@ -177,6 +229,9 @@
                 if version != before {
                     slog::info!(self.log, "catalogue in force"; "version" => version.0);
                 }
+                let snapshot = self.shared.published.load();
+                let asked = &req.grants;
+                self.asks.take(sent, asked, &granted, given, &snapshot);
                 let lease_ends = sent + self.entry.config_lease_ms;
                 self.shared.published.extend_lease(lease_ends);
                 true
@@ -196,8 +251,10 @@
         let (config, directory) = (self.follower.config(), self.follower.directory());
         let view = view::View::build(config, directory, place);
         let counts = self.audit.counts(config, &view);
-        self.shared
-            .published
-            .store(self.builder.build(view, counts));
+        self.shared.bulk_link.set_entries(view.entries.len());
+        let now = self.shared.clock.now();
+        let holder = &mut self.asks.holder;
+        let snapshot = self.builder.build(now, view, counts, holder);
+        self.shared.published.store(snapshot);
     }
 }
--- a/crates/entry/tests/follow.rs
+++ b/crates/entry/tests/follow.rs
@@ -32,6 +32,8 @@
         update,
         delta: directory::Delta::default(),
         wants_all: false,
+        grants: Vec::new(),
+        shares: Vec::new(),
     }
 }
 
--- a/crates/grants/src/message.rs
+++ b/crates/grants/src/message.rs
@@ -28,3 +28,10 @@
     /// Grants that it gave up with nothing in flight.
     pub released: Vec<Grant>,
 }
+
+impl Ask {
+    /// Returns whether nothing is asked for.
+    pub fn is_empty(&self) -> bool {
+        self.wanted.is_empty() && self.released.is_empty()
+    }
+}
--- a/crates/grants/src/table.rs
+++ b/crates/grants/src/table.rs
@@ -126,6 +126,12 @@
         Some(id)
     }
 
+    /// Returns whether the grant of a server is with an entry process.
+    pub fn is_held_by(&self, entry: &str, boot: u64, server: &str) -> bool {
+        let held = self.held.get(server);
+        held.is_some_and(|held| held.is_of(entry, boot))
+    }
+
     /// Returns the server, the holder's name and start number of each grant.
     pub fn holders(&self) -> impl Iterator<Item = (&str, &str, u64)> {
         self.held
--- a/crates/membership/src/hub.rs
+++ b/crates/membership/src/hub.rs
@@ -69,14 +69,43 @@
     pub version: u64,
 }
 
+/// State that an entry process heard of in a server's answer, ahead of its announcement.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Name of the server.
+    pub server: String,
+    /// Start number of the server.
+    pub incarnation: u64,
+    /// Whether it is cold; otherwise it is warm again.
+    pub is_cold: bool,
+}
+
+/// Shortest time for which a server that was heard to be cold counts as cold, since reports lag.
+pub const HEARD_COLD_MS: clock::Millis = clock::Millis(2_000);
+
+/// Server in the table.
+///
+/// Invariant: the state of the record is the announced one, or cold while `heard_cold` is set.
 #[derive(Debug)]
 struct Held {
     record: ServerRecord,
+    announced_state: announcement::ServerState,
+    heard_cold: Option<clock::Millis>,
     registrar_boot: u64,
     revision: u64,
     drop_at: clock::Millis,
 }
 
+impl Held {
+    fn is_announced_as(&self, announced: &announcement::Announcement) -> bool {
+        let known = announcement::Announcement {
+            state: self.announced_state,
+            ..self.record.announced.clone()
+        };
+        known == *announced
+    }
+}
+
 #[derive(Debug)]
 struct HeldEntry {
     record: EntryRecord,
@@ -173,6 +202,7 @@
         announced: &announcement::Announcement,
     ) {
         let is_gone = announced.state == announcement::ServerState::Gone;
+        let mut heard_cold = None;
         if let Some(held) = self.servers.get(&announced.server) {
             let known = &held.record;
             let is_known_gone = known.announced.state == announcement::ServerState::Gone;
@@ -183,33 +213,46 @@
             let is_tie_elsewhere = is_elsewhere
                 && announced.order() == known.announced.order()
                 && (is_gone || !is_known_gone);
-            let is_same =
-                known.announced == *announced && !is_elsewhere && held.registrar_boot == entry.boot;
+            let is_same = held.is_announced_as(announced)
+                && !is_elsewhere
+                && held.registrar_boot == entry.boot;
             if is_older || is_tie_elsewhere || is_same {
                 return;
             }
+            // An announcement that goes on to say "warm" may lag; one that says it anew, or comes
+            // from another start of the server, is news.
+            let is_still_warm = held.announced_state == announcement::ServerState::Warm
+                && announced.state == announcement::ServerState::Warm
+                && announced.incarnation == known.announced.incarnation;
+            heard_cold = held.heard_cold.filter(|_| is_still_warm);
         }
-        let record = ServerRecord {
+        let mut record = ServerRecord {
             announced: announced.clone(),
             registrar: entry.name.clone(),
         };
+        if heard_cold.is_some() {
+            record.announced.state = announcement::ServerState::Cold;
+        }
         let drop_at = match is_gone {
             true => now + TOMBSTONE_MS,
             false => clock::Millis::MAX,
         };
-        self.put(record, entry.boot, drop_at);
+        self.put(Held {
+            record,
+            announced_state: announced.state,
+            heard_cold,
+            registrar_boot: entry.boot,
+            revision: 0,
+            drop_at,
+        });
     }
 
-    fn put(&mut self, record: ServerRecord, registrar_boot: u64, drop_at: clock::Millis) {
+    /// Puts a record in, under a new revision.
+    fn put(&mut self, mut held: Held) {
         self.marks.servers += 1;
         let revision = self.marks.servers;
-        let name = record.announced.server.clone();
-        let held = Held {
-            record,
-            registrar_boot,
-            revision,
-            drop_at,
-        };
+        let name = held.record.announced.server.clone();
+        held.revision = revision;
         self.by_revision.insert(revision, name.clone());
         if let Some(old) = self.servers.insert(name, held) {
             self.by_revision.remove(&old.revision);
@@ -246,10 +289,47 @@
     fn end(&mut self, now: clock::Millis, name: &str) {
         if let Some(held) = self.servers.get(name) {
             let mut record = held.record.clone();
-            let boot = held.registrar_boot;
             record.announced.state = announcement::ServerState::Gone;
-            self.put(record, boot, now + TOMBSTONE_MS);
+            let gone = Held {
+                record,
+                announced_state: announcement::ServerState::Gone,
+                heard_cold: None,
+                drop_at: now + TOMBSTONE_MS,
+                ..*held
+            };
+            self.put(gone);
+        }
+    }
+
+    /// Takes what an entry process heard in a server's answer.
+    ///
+    /// Only the holder of the server's grant can hear that it is warm again, since nobody else
+    /// sends to it.
+    pub fn hear(&mut self, now: clock::Millis, heard: &Heard, is_holder: bool) {
+        let Some(held) = self.servers.get(&heard.server) else {
+            return;
+        };
+        let known = &held.record.announced;
+        if known.incarnation != heard.incarnation {
+            return;
         }
+        let mut record = held.record.clone();
+        let is_over = |since| is_holder && now.since(since) >= HEARD_COLD_MS;
+        let heard_cold = match (heard.is_cold, held.heard_cold) {
+            (true, _) if known.state == announcement::ServerState::Warm => Some(now),
+            (false, Some(since)) if is_over(since) => None,
+            _ => return,
+        };
+        record.announced.state = match heard_cold {
+            Some(_) => announcement::ServerState::Cold,
+            None => held.announced_state,
+        };
+        let news = Held {
+            record,
+            heard_cold,
+            ..*held
+        };
+        self.put(news);
     }
 
     fn expire_entries(&mut self, now: clock::Millis) {
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -67,6 +67,8 @@
     pub name: String,
     /// Servers that may get new work: announced cold or warm, in service, in a zone in service.
     pub servers: Vec<entity::Server>,
+    /// Whether a route of another class than bulk export uses it.
+    pub has_urgent: bool,
 }
 
 /// Route in a view.
@@ -279,6 +281,7 @@
         let view = ServiceView {
             name: name.to_owned(),
             servers: Vec::new(),
+            has_urgent: false,
         };
         let service = self.services.push(view);
         self.services_by_name.insert(name.to_owned(), service);
@@ -351,11 +354,17 @@
                 .iter()
                 .filter_map(|a| self.accounts_by_name.get(a));
             let accounts: Vec<entity::Account> = accounts.copied().collect();
+            let service = self.services_by_name.get(&route.service).copied();
+            if let Some(service) = service
+                && route.class != class::Class::BulkExport
+            {
+                self.services[service].has_urgent = true;
+            }
             let region_of = |name: &String| self.regions_by_name.get(name).copied();
             let key = self.routes.push(RouteView {
                 name: name.clone(),
                 class: route.class,
-                service: self.services_by_name.get(&route.service).copied(),
+                service,
                 regions: self.region_set(&route.home_regions),
                 ledger_region: route.ledger_region.as_ref().and_then(region_of),
                 retention: route.retention,
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -46,10 +46,27 @@
         body: &Q,
         timeout: clock::Millis,
     ) -> error::Result<A> {
-        let body =
-            rmp_serde::to_vec_named(body).map_err(|err| error::Error::NotSent(err.to_string()))?;
+        let body = Client::encode(body)?;
         let reply = self.call_bytes(peer, name, body, timeout).await?;
-        rmp_serde::from_slice(&reply).map_err(|err| error::Error::Decode(err.to_string()))
+        Client::decode(&reply)
+    }
+
+    /// Encodes a body for [`Client::call_bytes`], for callers that count its bytes.
+    ///
+    /// # Errors
+    ///
+    /// Nothing was sent.
+    pub fn encode<Q: Serialize>(body: &Q) -> error::Result<Vec<u8>> {
+        rmp_serde::to_vec_named(body).map_err(|err| error::Error::NotSent(err.to_string()))
+    }
+
+    /// Decodes an answer of [`Client::call_bytes`].
+    ///
+    /// # Errors
+    ///
+    /// The call may have been carried out.
+    pub fn decode<A: de::DeserializeOwned>(reply: &[u8]) -> error::Result<A> {
+        rmp_serde::from_slice(reply).map_err(|err| error::Error::Decode(err.to_string()))
     }
 
     /// Calls `name` with an encoded body and returns the encoded answer.
--- a/crates/rpc/src/message.rs
+++ b/crates/rpc/src/message.rs
@@ -1,7 +1,9 @@
 //! Messages that join several pure crates.
 
+use nutmegdale_admission::shares;
 use nutmegdale_catalogue::{audit, config, diff};
 use nutmegdale_consensus::types;
+use nutmegdale_grants::message as grants;
 use nutmegdale_membership::announcement;
 use nutmegdale_membership::directory;
 use nutmegdale_membership::hub;
@@ -32,6 +34,15 @@
     pub changed: Vec<announcement::Announcement>,
     /// Whether `changed` lists every server that announces itself there.
     pub is_all: bool,
+    /// States of servers that answers told of.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub heard: Vec<hub::Heard>,
+    /// Grants of cold servers that it wants or gives up.
+    #[serde(default, skip_serializing_if = "grants::Ask::is_empty")]
+    pub grants: grants::Ask,
+    /// Demand for limited routes and accounts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub demands: Vec<shares::Demand>,
     /// Whether the answer may be held until something changes.
     pub may_hold: bool,
     /// Whether a follower should pass the sync on, since the leader could not be reached.
@@ -66,6 +77,12 @@
     pub delta: directory::Delta,
     /// Whether the next sync must list every server that announces itself there.
     pub wants_all: bool,
+    /// Grants of cold servers, counted from the sending of the sync.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub grants: Vec<grants::Grant>,
+    /// Shares of the limits in demand.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shares: Vec<shares::Share>,
 }
 
 /// Answer to a sync.
