--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,6 +8,7 @@
 use crate::flight;
 use crate::forward;
 use crate::proxy;
+use crate::recheck;
 use crate::snapshot;
 use hyper::body::Body;
 use nutmegdale_base::{class, entity, outcome, rng};
@@ -112,8 +113,8 @@
 
     /// Sends a request to a chosen server.
     ///
-    /// The configuration lease is read again right before the first byte, since the process may
-    /// have been stopped since the check.
+    /// The configuration lease and the newest snapshot are read again right before the first byte,
+    /// since the process may have been stopped or the catalogue changed since the check.
     pub async fn send(
         &self,
         snapshot: &snapshot::Snapshot,
@@ -121,7 +122,8 @@
         chosen: Chosen,
         req: hyper::Request<listen::Body>,
     ) -> forward::Attempt {
-        let live = &snapshot.live[chosen.server];
+        let server = chosen.server;
+        let live = &snapshot.live[server];
         let is_cold = chosen.lease.is_some();
         let flight = flight::Flight::begin(live, &self.clock, chosen.lease, &self.heard);
         if snapshot.view.servers[chosen.server].region != chosen.permit.region() {
@@ -135,6 +137,10 @@
             if !self.published.has_lease(self.clock.now()) {
                 return Err(outcome::Reason::ConfigLease);
             }
+            let newest = self.published.load();
+            if !recheck::still_permits(&newest, snapshot, checked, server) {
+                return Err(outcome::Reason::NoServer);
+            }
             if is_cold && !live.lease.is_valid(self.clock.now()) {
                 return Err(outcome::Reason::Overload);
             }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod meter;
 pub mod pool;
 pub mod proxy;
+pub mod recheck;
 pub mod reserved;
 pub mod response;
 pub mod service;
