Bound the quorum rounds of reads and show a stopped replica as stopped

Cause: each read that found no round on its way started one, so the syncs of entry processes cost a round each between regions; and a replica whose disk failed went on showing the role that it had. Ruled out: a fixed time between rounds, which would delay each read of an operator; reads may start 10 rounds at once and one every 100 ms after that. Command: cargo test -p nutmegdale-consensus -p nutmegdale-replica

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -10,6 +10,11 @@
     pub election_ms: clock::Millis,
     /// Time between two heartbeats of a leader.
     pub heartbeat_ms: clock::Millis,
+    /// Time after which reads may start one more quorum round of their own. Rounds cost traffic
+    /// between regions, and many reads share one.
+    pub read_round_ms: clock::Millis,
+    /// Rounds that reads may start at once after a quiet time.
+    pub read_rounds_burst_count: u64,
     /// Bytes of entries in one message.
     pub append_max_bytes: usize,
     /// Entries in one message.
@@ -31,6 +36,8 @@
         Config {
             election_ms: clock::Millis(1_000),
             heartbeat_ms: clock::Millis(250),
+            read_round_ms: clock::Millis(100),
+            read_rounds_burst_count: 10,
             append_max_bytes: 1024 * 1024,
             append_max_count: 1_024,
             inflight_max_count: 8,
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -1,6 +1,7 @@
 //! What a leader does: replication, commit, quorum rounds, reads and changes of members.
 
 use crate::actions;
+use crate::config;
 use crate::input;
 use crate::node;
 use crate::progress;
@@ -24,6 +25,8 @@
     pub(crate) contact_at: clock::Millis,
     pub(crate) heartbeat_at: clock::Millis,
     pub(crate) wants_round: bool,
+    /// Point up to which the rounds of reads use up their rate; ahead of the clock after a burst.
+    pub(crate) reads_paid_to: clock::Millis,
     pub(crate) reads: collections::VecDeque<(u64, u64)>,
     pub(crate) transfer: Option<(types::ReplicaId, clock::Millis)>,
     /// Oldest round whose answer shows that a follower is reached.
@@ -35,6 +38,24 @@
         progress.round_acked > 0 && progress.round_acked >= self.reached_round
     }
 
+    /// Returns the point at which waiting reads may start a round of their own.
+    fn next_read_round(&self, cfg: &config::Config) -> Option<clock::Millis> {
+        if !self.wants_round || self.round != self.confirmed_round {
+            return None;
+        }
+        let ahead_ms = cfg.read_round_ms.0 * cfg.read_rounds_burst_count.saturating_sub(1);
+        // A group of one sends nothing, so its reads need no bound.
+        let is_free = self.progress.is_empty();
+        let paid_to_ms = if is_free { 0 } else { self.reads_paid_to.0 };
+        Some(clock::Millis(paid_to_ms.saturating_sub(ahead_ms)))
+    }
+
+    /// Returns the point at which something is due.
+    pub(crate) fn next_tick(&self, cfg: &config::Config) -> clock::Millis {
+        let next = self.next_read_round(cfg).unwrap_or(clock::Millis::MAX);
+        next.min(self.heartbeat_at)
+    }
+
     fn start_round(&mut self, now: clock::Millis, heartbeat_ms: clock::Millis) {
         self.round += 1;
         self.rounds.push_back((self.round, now));
@@ -55,6 +76,7 @@
             contact_at: self.now,
             heartbeat_at: self.now,
             wants_round: false,
+            reads_paid_to: self.now,
             reads: collections::VecDeque::new(),
             transfer: None,
             reached_round: 1,
@@ -84,6 +106,7 @@
         self.demote_suspect(actions);
         let peers = self.peers();
         let (now, heartbeat_ms) = (self.now, self.cfg.heartbeat_ms);
+        let read_round_ms = self.cfg.read_round_ms;
         let next = self.log.last().next();
         let rounds_kept = self.cfg.election_ms.0 / heartbeat_ms.0.max(1);
         let Some(lead) = &mut self.lead else {
@@ -92,8 +115,11 @@
         if lead.transfer.is_some_and(|(_, until)| now >= until) {
             lead.transfer = None;
         }
-        let may_start = lead.wants_round && lead.round == lead.confirmed_round;
         let is_due = now >= lead.heartbeat_at;
+        let may_start = lead.next_read_round(&self.cfg).is_some_and(|at| now >= at);
+        if may_start && !is_due {
+            lead.reads_paid_to = lead.reads_paid_to.max(now) + read_round_ms;
+        }
         if is_due || may_start {
             lead.start_round(now, heartbeat_ms);
         }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -133,7 +133,7 @@
     /// Returns the point at which the next [`input::Input::Tick`] is due.
     pub fn next_tick(&self) -> clock::Millis {
         match &self.lead {
-            Some(lead) => lead.heartbeat_at,
+            Some(lead) => lead.next_tick(&self.cfg),
             None => self.deadline,
         }
     }
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -19,6 +19,8 @@
     Candidate,
     /// Leads.
     Leader,
+    /// Takes part no longer: it was stopped, or its disk failed.
+    Stopped,
 }
 
 /// Progress of a member, as the leader sees it.
@@ -65,6 +67,14 @@
 }
 
 impl Status {
+    /// Turns this into the status of a replica that takes part no longer.
+    pub fn stop(&mut self) {
+        self.role = Role::Stopped;
+        self.leader = None;
+        self.progress.clear();
+        self.is_repaired = None;
+    }
+
     /// Returns the leader as a member, if known.
     pub fn leader_member(&self) -> Option<&types::Member> {
         self.members.get(self.leader?)
--- a/crates/consensus/tests/focused.rs
+++ b/crates/consensus/tests/focused.rs
@@ -186,6 +186,38 @@
     assert_eq!(bench.actions.confirmed_reads, [7]);
 }
 
+/// A round for each of many reads would cost more traffic between regions than control may use.
+#[test]
+fn many_reads_share_few_rounds() {
+    let mut net = net::Net::new(5, 3);
+    assert!(net.run_until(1_000, |net| net.leader().is_some()));
+    let leader = net.leader().expect("leader");
+    net.run(100);
+    let before = net.sent.len();
+    let reads: Vec<u64> = (0..1_000)
+        .map(|_| {
+            net.run(1);
+            net.read(leader)
+        })
+        .collect();
+    net.run(100);
+    assert!(reads.iter().all(|read| net.is_read(*read)));
+    // Two messages and two answers every 20 ms, instead of every 3 ms.
+    let sent = net.sent.len() - before;
+    assert!(sent < 300, "{sent} messages for 1000 reads in 1 s");
+}
+
+/// A single read must not wait for the rounds of others.
+#[test]
+fn single_read_starts_its_round_at_once() {
+    let mut net = net::Net::new(5, 3);
+    assert!(net.run_until(1_000, |net| net.leader().is_some()));
+    let leader = net.leader().expect("leader");
+    net.run(24);
+    let read = net.read(leader);
+    assert!(net.run_until(8, |net| net.is_read(read)));
+}
+
 /// Answers to rounds from before a freeze must not keep a leader that others replaced.
 #[test]
 fn answers_that_waited_while_frozen_do_not_keep_the_lead() {
--- a/crates/consensus/tests/net/mod.rs
+++ b/crates/consensus/tests/net/mod.rs
@@ -28,6 +28,8 @@
     config::Config {
         election_ms: clock::Millis(100),
         heartbeat_ms: clock::Millis(25),
+        read_round_ms: clock::Millis(20),
+        read_rounds_burst_count: 2,
         append_max_bytes: 200,
         append_max_count: 4,
         inflight_max_count: 3,
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -430,6 +430,14 @@
     }
 }
 
+impl Drop for Driver {
+    /// Shows that the replica stopped, for whatever reason the thread ends.
+    fn drop(&mut self) {
+        self.status_tx
+            .send_modify(|last| sync::Arc::make_mut(last).stop());
+    }
+}
+
 fn answer_unknown(pending: Pending) {
     // A caller that went away needs no answer.
     match pending {
--- a/crates/replica/tests/driver.rs
+++ b/crates/replica/tests/driver.rs
@@ -60,6 +60,19 @@
     }
 }
 
+/// A replica whose disk failed must not go on showing the role that it had.
+#[tokio::test]
+async fn stopped_replica_shows_that_it_stopped() {
+    let (_mesh, members) = group::found(1).await;
+    group::leader(&members).await;
+    members[0].disk.fail_sync_after(0);
+    assert!(members[0].handle.propose(command(1)).await.is_err());
+    let mut status = members[0].handle.subscribe();
+    while status.changed().await.is_ok() {}
+    assert_eq!(members[0].handle.status().role, status::Role::Stopped);
+    assert_eq!(members[0].handle.status().is_repaired, None);
+}
+
 /// A full disk must stop the replica like a failing one.
 #[tokio::test]
 async fn full_disk_is_never_acknowledged() {
