--- a/crates/choice/src/least_cost.rs
+++ b/crates/choice/src/least_cost.rs
@@ -36,8 +36,6 @@
     pub uses_errors: bool,
     /// Whether near candidates come first.
     pub prefers_near: bool,
-    /// Whether a concurrency limit per server refuses requests.
-    pub limits: bool,
     /// Candidates that are compared.
     pub compared_count: u32,
 }
@@ -49,7 +47,6 @@
             uses_latency: true,
             uses_errors: true,
             prefers_near: true,
-            limits: false,
             compared_count: 3,
         }
     }
@@ -78,9 +75,7 @@
         let far = self.best(cx, far, req).filter(|far| {
             !self.is_full(far, req.now) && self.cost(far, req.now) < self.cost(near, req.now)
         });
-        let chosen = far.unwrap_or(near);
-        let is_over = self.limits && chosen.signal.in_flight() >= chosen.signal.limit();
-        (!is_over).then_some(chosen.server)
+        Some(far.unwrap_or(near).server)
     }
 }
 
@@ -134,9 +129,6 @@
     }
 
     fn is_full(&self, candidate: &policy::Candidate, now: clock::Millis) -> bool {
-        if self.limits && candidate.signal.in_flight() >= candidate.signal.limit() {
-            return true;
-        }
         let is_failing = self.uses_errors && candidate.signal.error_rate(now) > FAILING_RATE;
         let slots_milli = u64::from(candidate.slots) * 1_000;
         is_failing || self.present_milli(candidate, now) >= slots_milli
@@ -159,9 +151,6 @@
             1 => ZONE_COST_US,
             _ => REGION_COST_US,
         };
-        if self.limits && signal.in_flight() >= signal.limit() {
-            cost += 1_000_000;
-        }
         if self.uses_errors {
             let errors = u64::from(signal.error_rate(now));
             cost += cost * ERROR_FACTOR * errors / u64::from(signal::ERROR_ONE);
--- a/crates/choice/src/signal.rs
+++ b/crates/choice/src/signal.rs
@@ -38,8 +38,6 @@
     latency_us: atomic::AtomicU64,
     errors: atomic::AtomicU64,
     warm_since_ms: atomic::AtomicU64,
-    limit_milli: atomic::AtomicU32,
-    cut_at_ms: atomic::AtomicU64,
     heard: atomic::AtomicU64,
 }
 
@@ -49,36 +47,6 @@
         Signal::default()
     }
 
-    /// Returns the concurrency limit: raised by one request for each round of answers, cut to 70%
-    /// by a failure or an answer that takes three times the estimate, at most every 20 ms.
-    pub fn limit(&self) -> u32 {
-        match self.limit_milli.load(Relaxed) {
-            0 => 4,
-            milli => (milli / 1_000).max(1),
-        }
-    }
-
-    fn raise_limit(&self) {
-        let known = match self.limit_milli.load(Relaxed) {
-            0 => 4_000,
-            milli => milli,
-        };
-        let next = known + 1_000_000 / known;
-        self.limit_milli.store(next.min(16_000), Relaxed);
-    }
-
-    fn cut_limit(&self, now: clock::Millis) {
-        if now.0 < self.cut_at_ms.load(Relaxed) + 20 {
-            return;
-        }
-        self.cut_at_ms.store(now.0, Relaxed);
-        let known = match self.limit_milli.load(Relaxed) {
-            0 => 4_000,
-            milli => milli,
-        };
-        self.limit_milli.store((known * 7 / 10).max(1_000), Relaxed);
-    }
-
     /// Returns the requests of this entry process that are at the server.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Relaxed)
@@ -110,11 +78,6 @@
     pub fn succeeded(&self, now: clock::Millis, took_us: u64) {
         let sample = u32::try_from(took_us).unwrap_or(VALUE_MAX).min(VALUE_MAX);
         let known = self.latency_us(now);
-        if known > 0 && sample > known * 3 {
-            self.cut_limit(now);
-        } else {
-            self.raise_limit();
-        }
         // A rise counts more than a fall: a server that turns slow holds a slot for long, while a
         // single fast answer proves little.
         let next = match known {
@@ -146,7 +109,6 @@
     ///
     /// The time that it took is no sample of latency, so that fast failures look no better.
     pub fn failed(&self, now: clock::Millis) {
-        self.cut_limit(now);
         let errors = self.error_rate(now);
         let next = errors + (ERROR_ONE - errors) / 4;
         self.errors.store(pack(now, next), Relaxed);
--- a/crates/replay/src/plan.rs
+++ b/crates/replay/src/plan.rs
@@ -75,14 +75,6 @@
     plans.push(without("-latency", |p| p.uses_latency = false));
     plans.push(without("-errors", |p| p.uses_errors = false));
     plans.push(without("-near", |p| p.prefers_near = false));
-    let limited = least_cost::LeastCost {
-        limits: true,
-        ..full
-    };
-    plans.push(Plan {
-        hedges: true,
-        ..Plan::new("aimd", Choice::LeastCost(limited))
-    });
     plans.push(without("three-choices", |p| p.compared_count = 3));
     plans.push(Plan {
         probes_percent: 100,
