Bound slow heads, idle connections and stalled answers without a timer per request

The listener had no bound for a client that takes no bytes of its answer, which holds a server's connection for ever. One slow tick per connection now judges counters, and the number of headers is the library's 100.

tests/listen.rs slow_head_and_silent_connection_are_ended, idle_connection_is_ended_and_a_slow_answer_is_not and client_that_takes_no_bytes_is_ended_and_sees_a_broken_answer fail without the judgement. The other tests record what already held: request smuggling, header count and size, streams reset in a loop, and a graceful end of HTTP/1.1 and HTTP/2 connections.

--- a/crates/rpc/src/listen.rs
+++ b/crates/rpc/src/listen.rs
@@ -1,10 +1,14 @@
 //! HTTP listener with bounds against slow or hostile clients and a graceful end.
 
+mod activity;
+mod connection;
+mod watched;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body;
 use hyper_util::rt;
-use hyper_util::server::{conn, graceful};
+use hyper_util::server::conn;
 use nutmegdale_base::clock;
 use std::convert;
 use std::future;
@@ -30,10 +34,13 @@
 /// Bounds of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
-    /// Time for a client to send all headers of a request.
+    /// Time for a client to send all headers of a request. The number of headers is bounded by the
+    /// HTTP library's default of 100; any other number makes it allocate for each request.
     pub header_read_ms: clock::Millis,
-    /// Headers of one request.
-    pub headers_max_count: usize,
+    /// Time for a client to take some bytes of an answer.
+    pub write_stall_ms: clock::Millis,
+    /// Time that a connection may be open between two requests.
+    pub idle_ms: clock::Millis,
     /// Bytes of the head of one request.
     pub head_max_bytes: usize,
     /// Connections at once.
@@ -46,7 +53,8 @@
     fn default() -> Bounds {
         Bounds {
             header_read_ms: clock::Millis(10_000),
-            headers_max_count: 64,
+            write_stall_ms: clock::Millis(30_000),
+            idle_ms: clock::Millis(60_000),
             head_max_bytes: 16 * 1024,
             connections_max_count: 10_000,
             streams_max_count: 64,
@@ -82,7 +90,6 @@
     drain: clock::Millis,
 ) -> bool {
     let builder = builder(&bounds);
-    let watcher = graceful::GracefulShutdown::new();
     let permits = sync::Arc::new(tokio::sync::Semaphore::new(bounds.connections_max_count));
     loop {
         let accepted = tokio::select! {
@@ -93,23 +100,24 @@
             continue;
         };
         let service = sync::Arc::clone(&service);
-        let handler = hyper::service::service_fn(move |req| {
-            let answer = service.call(req, client);
-            async move { Ok::<_, convert::Infallible>(answer.await) }
-        });
-        let conn = builder
-            .serve_connection(rt::TokioIo::new(stream), handler)
-            .into_owned();
-        let conn = watcher.watch(conn);
+        let conn = connection::serve(
+            builder.clone(),
+            stream,
+            client,
+            service,
+            bounds,
+            stop.clone(),
+        );
         tokio::spawn(async move {
-            // A broken connection is the client's to notice; requests log their own outcome.
-            drop(conn.await);
+            conn.await;
             drop(permit);
         });
     }
     drop(listener);
     let drain = time::Duration::from_millis(drain.0);
-    tokio::time::timeout(drain, watcher.shutdown())
+    // Every permit is back once every connection has ended.
+    let count = u32::try_from(bounds.connections_max_count).unwrap_or(u32::MAX);
+    tokio::time::timeout(drain, permits.acquire_many(count))
         .await
         .is_ok()
 }
@@ -143,9 +151,7 @@
     let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(time::Duration::from_millis(bounds.header_read_ms.0))
-        .max_headers(bounds.headers_max_count)
+        .header_read_timeout(None)
         .max_buf_size(bounds.head_max_bytes);
     builder
         .http2()
