Show metrics, a state dump and health at the observe address

Settings had an observe address that nothing listened at. Metrics resolve every series at the start, by class, outcome and reason, so the path of a request indexes arrays. Requests that were not answered are logged as JSON lines with stable field names, 50 a second at most; the number left out is on the next line.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod head;
 pub mod live;
 pub mod meter;
+pub mod observe;
 pub mod pool;
 pub mod proxy;
 pub mod recheck;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -13,9 +13,11 @@
 use nutmegdale_base::{class, clock, header, outcome};
 use nutmegdale_choice::policy;
 use nutmegdale_rpc::listen;
+use nutmegdale_telemetry::{failures, metrics};
 use std::net;
 use std::sync;
 use std::sync::atomic;
+use std::time;
 
 /// What every request of an entry process shares.
 #[allow(missing_debug_implementations)] // Holds trait objects.
@@ -42,6 +44,10 @@
     pub next_request: atomic::AtomicU64,
     /// Random number of this start of the process.
     pub boot: u64,
+    /// Metrics of requests.
+    pub requests: metrics::Requests,
+    /// Log of requests that were not answered.
+    pub failures: failures::Failures,
 }
 
 /// Service for callers and backend servers.
@@ -75,6 +81,8 @@
 
 impl Shared {
     async fn answer(&self, req: hyper::Request<body::Incoming>) -> hyper::Response<listen::Body> {
+        let started = time::Instant::now();
+        let number = self.next_request.fetch_add(1, atomic::Ordering::Relaxed);
         let snapshot = self.published.load();
         let version = snapshot.view.version;
         let body_bytes = req.body().size_hint().exact();
@@ -84,20 +92,29 @@
         });
         let (checked, admitted) = match admitted {
             Ok(admitted) => admitted,
-            Err(refused) => return refused.answer(&snapshot),
+            Err(refused) => {
+                let outcome = outcome::Outcome::NotRun(refused.reason);
+                self.count_failure(started, number, &snapshot, None, outcome);
+                return refused.answer(&snapshot);
+            }
         };
         let limit = check::body_limit(&snapshot, &checked);
         let mut req = req.map(|incoming| limited(incoming, body_bytes, limit));
-        self.prepare(&mut req);
+        self.prepare(&mut req, number);
         match self.forward(&snapshot, &checked, req).await {
             Ok((mut answer, region)) => {
                 head::strip_hop_headers(answer.headers_mut());
                 let outcome = outcome::Outcome::Answered;
+                let class = Some(checked.priority);
+                self.requests.count(class, outcome, started.elapsed());
                 response::set_outcome(answer.headers_mut(), outcome, version);
                 let is_far = snapshot.view.here != Some(region);
                 answer.map(|inner| self.metered(inner, admitted, is_far))
             }
-            Err(outcome) => response::refusal(outcome, version, ""),
+            Err(outcome) => {
+                self.count_failure(started, number, &snapshot, Some(&checked), outcome);
+                response::refusal(outcome, version, "")
+            }
         }
     }
 
@@ -113,9 +130,8 @@
         listen::Body::new(meter::Metered::new(inner, admitted, clock, link))
     }
 
-    fn prepare(&self, req: &mut hyper::Request<listen::Body>) {
+    fn prepare(&self, req: &mut hyper::Request<listen::Body>, number: u64) {
         head::strip_hop_headers(req.headers_mut());
-        let number = self.next_request.fetch_add(1, atomic::Ordering::Relaxed);
         let id = head::request_id(self.boot, number);
         req.headers_mut().insert(&head::REQUEST_ID, id);
         head::use_origin_form(req);
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -1,6 +1,6 @@
 //! The entry role of a process.
 
-use crate::{audit, proxy, reserved, snapshot, sync as syncer};
+use crate::{audit, observe, proxy, reserved, snapshot, sync as syncer};
 use nutmegdale_admission::{bulk, measuring};
 use nutmegdale_base::clock;
 use nutmegdale_catalogue::config;
@@ -11,6 +11,7 @@
 use nutmegdale_rpc::listen;
 use nutmegdale_settings::model;
 use nutmegdale_telemetry::clock as machine_clock;
+use nutmegdale_telemetry::{failures, metrics};
 use std::io;
 use std::sync;
 use std::sync::atomic;
@@ -21,6 +22,9 @@
 /// and other entry processes learn of it.
 const LEAVE_MS: u64 = 500;
 
+/// Time for readers of metrics to finish.
+const OBSERVE_DRAIN_MS: clock::Millis = clock::Millis(500);
+
 /// Runs the entry role until `stop` turns true.
 ///
 /// # Errors
@@ -34,6 +38,7 @@
     mut stop: watch::Receiver<bool>,
 ) -> io::Result<()> {
     let listener = listen::bind(entry.listen).await?;
+    let observe_listener = listen::bind(entry.observe).await?;
     let shared = sync::Arc::new(proxy::Shared {
         clock,
         published: snapshot::Published::new(empty_snapshot(process)),
@@ -50,6 +55,8 @@
         deadline_ms: entry.deadline_ms,
         next_request: atomic::AtomicU64::new(0),
         boot: machine_clock::boot_id(),
+        requests: metrics::Requests::new(),
+        failures: failures::Failures::new(log.clone()),
     });
     let (close_tx, close_rx) = watch::channel(false);
     let syncer = syncer::Syncer::new(sync::Arc::clone(&shared), process, entry, log.clone());
@@ -64,6 +71,15 @@
         close_rx,
         entry.drain_ms,
     ));
+    let observe = sync::Arc::new(observe::Observe::new(sync::Arc::clone(&shared)));
+    let (observed_tx, observed_rx) = watch::channel(false);
+    let observing = tokio::spawn(listen::serve(
+        observe_listener,
+        observe,
+        bounds,
+        observed_rx,
+        OBSERVE_DRAIN_MS,
+    ));
     // The sender lives as long as the process; an error means that it is ending.
     drop(stop.wait_for(|is_stopping| *is_stopping).await);
     shared.is_stopping.store(true, atomic::Ordering::Relaxed);
@@ -72,6 +88,9 @@
     close_tx.send_replace(true);
     let is_drained = serving.await.unwrap_or(false);
     drop(syncing.await);
+    // Metrics and the dump stay readable until the last request has ended.
+    observed_tx.send_replace(true);
+    drop(observing.await);
     slog::info!(log, "entry role stopped"; "all_requests_ended" => is_drained);
     Ok(())
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,4 +5,6 @@
 //! listed in [docs/operations.md](../../../docs/operations.md).
 
 pub mod clock;
+pub mod failures;
 pub mod log;
+pub mod metrics;
