--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -18,9 +18,8 @@
 use std::time;
 use tokio::sync::watch;
 
-/// Time between the announcement of a shutdown and the closing of the listener, in which callers
-/// and other entry processes learn of it.
-const LEAVE_MS: u64 = 500;
+/// Time for the announcement of a shutdown to reach the other entry processes.
+const LEAVE_MS: clock::Millis = clock::Millis(500);
 
 /// Time for readers of metrics to finish.
 const OBSERVE_DRAIN_MS: clock::Millis = clock::Millis(500);
@@ -84,7 +83,10 @@
     drop(stop.wait_for(|is_stopping| *is_stopping).await);
     shared.is_stopping.store(true, atomic::Ordering::Relaxed);
     shared.reserved.local_changed.send_replace(());
-    tokio::time::sleep(time::Duration::from_millis(LEAVE_MS)).await;
+    // A caller with an older list still gets a truthful refusal: a connection that waits for a
+    // listener that closes is broken off, which the caller could only take for unknown.
+    let leave = LEAVE_MS + entry.addresses_ttl_ms;
+    tokio::time::sleep(time::Duration::from_millis(leave.0)).await;
     close_tx.send_replace(true);
     let is_drained = serving.await.unwrap_or(false);
     drop(syncing.await);
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -179,6 +179,8 @@
             )
             .expect("string can be written");
             writeln!(text, "control = {}", control.join(", ")).expect("string can be written");
+            // Short, since a graceful end waits until no caller holds an older list.
+            writeln!(text, "addresses_ttl = 1s").expect("string can be written");
             let settings = cluster.write_settings(&name, &text);
             let daemon = cluster.start_daemon(&name, *ip, settings);
             cluster.entry.push(daemon);
@@ -238,6 +240,11 @@
         &self.folder
     }
 
+    /// Returns the token of the operator `tester`.
+    pub fn operator_token(&self) -> &'static str {
+        OPERATOR_TOKEN
+    }
+
     /// Returns a fresh address for a stand-in.
     pub fn standin_address(&mut self) -> net::SocketAddr {
         self.addresses.next_address()
