--- a/crates/testkit/src/bin/demo/main.rs
+++ b/crates/testkit/src/bin/demo/main.rs
@@ -29,7 +29,7 @@
     let mut scene = scene::Scene::start().await;
     scene.ctl(&["status"]);
     let mut verdict = verdict::Verdict::default();
-    let traffic = traffic::Traffic::start(scene.addresses());
+    let traffic = traffic::Traffic::start(&scene.addresses());
     say("serving reads, filings and exports");
     tokio::time::sleep(ACT).await;
 
--- a/crates/testkit/src/bin/demo/traffic.rs
+++ b/crates/testkit/src/bin/demo/traffic.rs
@@ -31,13 +31,13 @@
 }
 
 impl Traffic {
-    pub(crate) fn start(known: Vec<net::SocketAddr>) -> Traffic {
+    pub(crate) fn start(known: &[net::SocketAddr]) -> Traffic {
         let (stop, stop_rx) = watch::channel(false);
         let tally = sync::Arc::<sync::Mutex<Tally>>::default();
         let mut tasks = tokio::task::JoinSet::new();
         for (route, count, pause) in KINDS {
             for number in 0..count {
-                let mut known = known.clone();
+                let mut known = known.to_vec();
                 // Callers live in different places, so they know different addresses first.
                 let length = known.len();
                 known.rotate_left(number % length);
