Let operators see and repair replicas through any control process

The API and nutmegctl show every group with its replicas and admit, promote and remove them; ledger groups of other regions are asked at their processes.

An entry process follows the leader that it is told of, listed or not, since a replaced control VM is not in the settings of entry processes yet. If it cannot reach the leader, another control process passes its syncs on for 30 s.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -3,8 +3,9 @@
 //! Every answer is confirmed by a quorum. A replica that does not lead says so, and its front asks
 //! the leader, so an operator may send a request, and send it again, to any control process.
 
-use crate::{catalogue, hub, status};
+use crate::{catalogue, hub, replicas, status};
 use nutmegdale_catalogue::{audit, change, config};
+use nutmegdale_consensus::types;
 use nutmegdale_replica::handle;
 use nutmegdale_rpc::message;
 use nutmegdale_telemetry::clock;
@@ -46,6 +47,19 @@
     base: Option<config::Version>,
 }
 
+/// Body of a request that changes a member of a group.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+enum MemberBody {
+    Address(net::SocketAddr),
+    Replica(String),
+}
+
+#[derive(Debug, Serialize)]
+struct MemberChanged {
+    replica: String,
+}
+
 #[derive(Debug, Serialize)]
 struct ErrorBody<'a> {
     error: &'a str,
@@ -65,6 +79,7 @@
     group: handle::Handle,
     published: sync::Arc<catalogue::Published>,
     hub: sync::Arc<hub::Hub>,
+    replicas: replicas::Replicas,
     log: slog::Logger,
 }
 
@@ -92,6 +107,7 @@
         group: handle::Handle,
         published: sync::Arc<catalogue::Published>,
         hub: sync::Arc<hub::Hub>,
+        replicas: replicas::Replicas,
         log: slog::Logger,
     ) -> Api {
         Api {
@@ -99,6 +115,7 @@
             group,
             published,
             hub,
+            replicas,
             log,
         }
     }
@@ -131,6 +148,8 @@
             ("GET", ["status"]) => self.status().await,
             ("GET", ["dump"]) => self.dump().await,
             ("GET", ["audit"]) => self.audit().await,
+            ("GET", ["replicas"]) => Ok(json(200, &self.replicas.all().await)),
+            ("POST", ["replicas", group, action]) => self.change_member(req, group, action).await,
             ("POST", ["changes"]) => {
                 let body: ChangeBody = decode(&req.body)?;
                 self.change(&req.operator, body).await
@@ -226,6 +245,33 @@
         Ok(self.hub.read(judge).await?)
     }
 
+    async fn change_member(
+        &self,
+        req: &message::AdminRequest,
+        group: &str,
+        action: &str,
+    ) -> Result<message::AdminReply> {
+        let change = match (action, decode(&req.body)?) {
+            ("admit", MemberBody::Address(address)) => message::MemberChange::Admit(address),
+            ("promote", MemberBody::Replica(id)) => message::MemberChange::Promote(replica(&id)?),
+            ("remove", MemberBody::Replica(id)) => message::MemberChange::Remove(replica(&id)?),
+            _ => return refuse(404, "admit takes an address, promote and remove a replica"),
+        };
+        let reply = self.replicas.change(group, change).await;
+        slog::info!(self.log, "change of members answered"; "group" => group,
+            "author" => &req.operator, "change" => ?change, "answer" => ?reply);
+        match reply {
+            message::MemberChangeReply::Done { id } => {
+                let replica = id.to_string();
+                Ok(json(200, &MemberChanged { replica }))
+            }
+            message::MemberChangeReply::NotLeader { .. } => {
+                refuse(503, "the group has no leader now; try again")
+            }
+            message::MemberChangeReply::Failed { text } => refuse(409, &text),
+        }
+    }
+
     async fn change(&self, author: &str, body: ChangeBody) -> Result<message::AdminReply> {
         let id = body.id.clone();
         let cmd = catalogue::Command {
@@ -273,6 +319,16 @@
     }
 }
 
+fn replica(id: &str) -> Result<types::ReplicaId> {
+    match u64::from_str_radix(id, 16) {
+        Ok(id) => Ok(types::ReplicaId(id)),
+        Err(_) => refuse(
+            400,
+            &format!("{id:?} is not a replica; it has 16 hexadecimal digits"),
+        ),
+    }
+}
+
 fn status_of(answer: &change::Answer) -> u16 {
     match answer {
         change::Answer::Accepted { .. } => 200,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod leader;
 mod members;
 pub mod peers;
+pub mod replicas;
 pub mod service;
 pub mod status;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,6 +1,6 @@
 //! The control role of a process.
 
-use crate::{admin, api, catalogue, groups, hub};
+use crate::{admin, api, catalogue, groups, hub, replicas};
 use bytes::Bytes;
 use nutmegdale_base::clock;
 use nutmegdale_rpc::{client, listen, message, server};
@@ -39,7 +39,8 @@
         sync::Arc::clone(&published),
     ));
     let (for_api, api_log) = (sync::Arc::clone(&hub), log.clone());
-    let api = api::Api::new(&process.name, group, published, for_api, api_log);
+    let replicas = replicas::Replicas::new(sync::Arc::clone(&host), process, control);
+    let api = api::Api::new(&process.name, group, published, for_api, replicas, api_log);
     let api = sync::Arc::new(api);
     let calls = sync::Arc::new(Calls {
         hub: sync::Arc::clone(&hub),
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -56,6 +56,7 @@
     Zone(Zone),
     Server(Server),
     Status(Status),
+    Replicas(Replicas),
     Dump(Dump),
     Audit(Audit),
 }
@@ -179,6 +180,67 @@
 #[argh(subcommand, name = "status")]
 pub(crate) struct Status {}
 
+/// Show or change the replicas of the groups on the control processes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "replicas")]
+pub(crate) struct Replicas {
+    #[argh(subcommand)]
+    pub(crate) action: ReplicasAction,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum ReplicasAction {
+    Status(ReplicasStatus),
+    Admit(Admit),
+    Promote(Promote),
+    Remove(Remove),
+}
+
+/// Show every group and how far a repair has come.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct ReplicasStatus {}
+
+/// Admit the new replica of a control process as a learner.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "admit")]
+pub(crate) struct Admit {
+    /// group: catalogue or ledger-REGION
+    #[argh(positional)]
+    pub(crate) group: String,
+
+    /// control.listen of the process, as IP:PORT
+    #[argh(positional)]
+    pub(crate) address: String,
+}
+
+/// Make a learner that has caught up a voter.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "promote")]
+pub(crate) struct Promote {
+    /// group: catalogue or ledger-REGION
+    #[argh(positional)]
+    pub(crate) group: String,
+
+    /// identity of the replica, 16 hexadecimal digits
+    #[argh(positional)]
+    pub(crate) replica: String,
+}
+
+/// Remove a replica from its group.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "remove")]
+pub(crate) struct Remove {
+    /// group: catalogue or ledger-REGION
+    #[argh(positional)]
+    pub(crate) group: String,
+
+    /// identity of the replica, 16 hexadecimal digits
+    #[argh(positional)]
+    pub(crate) replica: String,
+}
+
 /// Print everything that the leading control process holds, as JSON.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "dump")]
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -5,14 +5,16 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::client::conn::http1;
+use std::cell;
 use std::env;
 use std::fs;
 use std::net;
 use std::time;
 use tokio::net::TcpStream;
 
-/// Longest time for one control process to answer before the next one is asked.
-const ONE_ANSWER: time::Duration = time::Duration::from_secs(5);
+/// Longest time for one control process to answer before the next one is asked. A frozen process
+/// accepts connections and never answers; asking twice does no harm, since changes have an id.
+const ONE_ANSWER: time::Duration = time::Duration::from_secs(2);
 /// Pause before a control process is asked again.
 const PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -33,6 +35,7 @@
     control: Vec<net::SocketAddr>,
     token: String,
     limit: time::Duration,
+    answering: cell::Cell<usize>,
 }
 
 impl Client {
@@ -59,6 +62,7 @@
             control,
             token: token(args)?,
             limit: time::Duration::from_secs(args.timeout),
+            answering: cell::Cell::new(0),
         })
     }
 
@@ -70,17 +74,22 @@
     pub(crate) async fn send(&self, method: &str, path: &str, body: &[u8]) -> exit::Result<Answer> {
         let start = time::Instant::now();
         let mut last = String::new();
-        for peer in self.control.iter().cycle() {
+        // The one that answered last is asked first.
+        for at in self.answering.get().. {
+            let peer = self.control[at % self.control.len()];
             let left = self.limit.saturating_sub(start.elapsed());
             if left.is_zero() {
                 break;
             }
-            let sent = self.send_to(*peer, method, path, body);
+            let sent = self.send_to(peer, method, path, body);
             match tokio::time::timeout(left.min(ONE_ANSWER), sent).await {
                 Ok(Ok(answer)) if answer.status == 401 => {
                     return exit::fail(exit::Exit::Token, format!("{peer}: the token is refused"));
                 }
-                Ok(Ok(answer)) if answer.status != 503 => return Ok(answer),
+                Ok(Ok(answer)) if answer.status != 503 => {
+                    self.answering.set(at);
+                    return Ok(answer);
+                }
                 Ok(Ok(answer)) => last = format!("{peer}: {}", answer.error()),
                 Ok(Err(err)) => last = format!("{peer}: {err}"),
                 Err(_) => last = format!("{peer}: no answer in time"),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,6 +11,7 @@
 mod exit;
 mod print;
 mod read;
+mod replicas;
 
 pub use exit::Exit;
 use std::io::Write;
@@ -64,6 +65,7 @@
         args::Command::History(history) => read::history(&mut cx, history).await,
         args::Command::Diff(diff) => read::diff(&mut cx, diff).await,
         args::Command::Status(_) => read::status(&mut cx).await,
+        args::Command::Replicas(replicas) => replicas::run(&mut cx, &replicas.action).await,
         args::Command::Dump(_) => read::dump(&mut cx).await,
         args::Command::Audit(_) => read::audit(&mut cx).await,
     }
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -18,7 +18,7 @@
 /// it, and the command that waits for it.
 #[tokio::test]
 async fn change_is_in_force_on_every_entry_process_in_time() {
-    let mut cluster = common::start();
+    let mut cluster = common::start(1);
     apply_first(&cluster).await;
     let _server = server(&mut cluster, "reads-1", "zone-a").await;
     for entry in &cluster.entry {
@@ -53,7 +53,7 @@
 /// out, an entry process in the zone refuses work as not run, and the way back works.
 #[tokio::test]
 async fn zone_and_server_go_out_and_come_back() {
-    let mut cluster = common::start();
+    let mut cluster = common::start(1);
     apply_first(&cluster).await;
     let in_a = server(&mut cluster, "reads-a", "zone-a").await;
     let in_b = server(&mut cluster, "reads-b", "zone-b").await;
@@ -115,7 +115,7 @@
 /// time, also right after its restart, and serves again once the control process is back.
 #[tokio::test]
 async fn entry_cut_off_from_control_refuses_and_recovers() {
-    let mut cluster = common::start();
+    let mut cluster = common::start(1);
     apply_first(&cluster).await;
     let _server = server(&mut cluster, "reads-1", "zone-a").await;
     for entry in &cluster.entry {
@@ -143,7 +143,7 @@
 /// Guards against two winners from one version and a resend that is applied twice, over HTTP.
 #[tokio::test]
 async fn racing_operators_get_one_winner_and_resends_the_first_answer() {
-    let cluster = common::start();
+    let cluster = common::start(1);
     apply_first(&cluster).await;
     let mut answered = Vec::new();
     for round in 1..=5 {
@@ -191,7 +191,7 @@
 /// Guards the exit codes that scripts rely on, and that the missing entry process is named.
 #[tokio::test]
 async fn command_line_tool_tells_outcomes_apart() {
-    let cluster = common::start();
+    let cluster = common::start(1);
     apply_first(&cluster).await;
     let account = |n: u32| json!({ "op": "remove-account", "name": format!("a{n}") });
     let path = file(&cluster, "a.json", &account(1));
@@ -246,7 +246,7 @@
 /// found out.
 #[tokio::test]
 async fn audit_shows_violations() {
-    let cluster = common::start();
+    let cluster = common::start(1);
     apply_first(&cluster).await;
     let ran = ctl(&cluster, &["zone", "out", "zone-a"]).await;
     assert_eq!(ran.exit, Exit::Done, "{ran:?}");
--- a/crates/daemon/tests/operators/common.rs
+++ b/crates/daemon/tests/operators/common.rs
@@ -21,11 +21,11 @@
     region: "north",
 };
 
-/// Starts one control process and entry processes in zone-a, zone-b and zone-b.
-pub(crate) fn start() -> cluster::Cluster {
+/// Starts control processes, and entry processes in zone-a, zone-b and zone-b.
+pub(crate) fn start(control_count: usize) -> cluster::Cluster {
     cluster::Cluster::start(&cluster::Plan {
         program: env!("CARGO_BIN_EXE_nutmegdale").into(),
-        control: vec![ZONE_A],
+        control: vec![ZONE_A; control_count],
         entry: vec![ZONE_A, ZONE_B, ZONE_B],
     })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod live;
 pub mod meter;
 pub mod observe;
+pub mod peers;
 pub mod pool;
 pub mod proxy;
 pub mod recheck;
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -6,6 +6,7 @@
 use crate::asks;
 use crate::audit;
 use crate::follow;
+use crate::peers;
 use crate::proxy;
 use crate::snapshot;
 use nutmegdale_admission::measuring;
@@ -30,8 +31,6 @@
 /// Shortest time between the starts of two syncs that send announcements. The first change of a
 /// burst travels at once, the rest together.
 const GATHER_MS: clock::Millis = clock::Millis(100);
-/// Time for which syncs go through a follower after the leader could not be reached.
-const RELAY_MS: clock::Millis = clock::Millis(30_000);
 
 /// Bytes of the heads of a call and its answer.
 const HEAD_BYTES: u64 = 300;
@@ -50,9 +49,7 @@
     builder: snapshot::Builder,
     audit: audit::Audit,
     asks: asks::Asks,
-    peer: usize,
-    leader: Option<net::SocketAddr>,
-    relay_until: clock::Millis,
+    peers: peers::Peers,
 }
 
 impl Syncer {
@@ -73,9 +70,7 @@
             builder: snapshot::Builder::new(),
             audit: audit::Audit::new(),
             asks: asks::Asks::new(),
-            peer: 0,
-            leader: None,
-            relay_until: clock::Millis::ZERO,
+            peers: peers::Peers::new(&entry.control),
         }
     }
 
@@ -110,7 +105,12 @@
         }
     }
 
-    fn request(&mut self, now: clock::Millis, may_hold: bool) -> (message::SyncRequest, u64) {
+    fn request(
+        &mut self,
+        now: clock::Millis,
+        may_hold: bool,
+        may_forward: bool,
+    ) -> (message::SyncRequest, u64) {
         let entry = hub::EntryRecord {
             name: self.process.name.clone(),
             boot: self.shared.boot,
@@ -130,7 +130,7 @@
             grants: asked.grants,
             demands: asked.demands,
             may_hold,
-            may_forward: now < self.relay_until,
+            may_forward,
             is_forwarded: false,
             audit: self.audit.report(now),
         };
@@ -138,13 +138,13 @@
     }
 
     async fn sync(&mut self, may_hold: bool) -> bool {
+        let started = self.shared.clock.now();
+        let target = self.peers.target(started);
+        let peer = target.address;
+        let (req, change) = self.request(started, may_hold, target.may_forward);
+        let reply = self.call(peer, &req).await;
         let now = self.shared.clock.now();
-        let (req, change) = self.request(now, may_hold);
-        let peer = match self.leader {
-            Some(leader) => leader,
-            None => self.entry.control[self.peer % self.entry.control.len()],
-        };
-        match self.call(peer, &req).await {
+        match reply {
             Ok((sent, message::SyncReply::Confirmed(confirmed))) => {
                 if confirmed.wants_all {
                     // Another leader has no counts yet.
@@ -155,15 +155,12 @@
                 self.take(sent, change, &req, *confirmed)
             }
             Ok((_, message::SyncReply::NotLeader { leader })) => {
-                self.next_peer(leader);
+                self.peers.not_leader(now, leader);
                 false
             }
             Err(err) => {
                 slog::warn!(self.log, "sync failed"; "peer" => %peer, "error" => %err);
-                if self.leader.is_some() {
-                    self.relay_until = self.shared.clock.now() + RELAY_MS;
-                }
-                self.next_peer(None);
+                self.peers.failed(now);
                 false
             }
         }
@@ -198,13 +195,6 @@
         }
     }
 
-    fn next_peer(&mut self, leader: Option<net::SocketAddr>) {
-        self.leader = leader.filter(|address| self.entry.control.contains(address));
-        if self.leader.is_none() {
-            self.peer += 1;
-        }
-    }
-
     fn take(
         &mut self,
         sent: clock::Millis,
