Freeze the registrar in the test of a change of leader

With a single server that its entry process sent again at once, the test passed even with a copy that dropped everything on a change of leader. Now the entry process of the server freezes with the loss of the leader. Failing first: with the copy cleared on a full listing the test fails.

--- a/crates/daemon/tests/control_group.rs
+++ b/crates/daemon/tests/control_group.rs
@@ -181,8 +181,8 @@
     assert_eq!(confirmed.version.0, 1);
 }
 
-/// Guards against entry processes that drop every server when the leader changes: callers are
-/// answered by all of them throughout, except for what the configuration lease refuses.
+/// Guards against entry processes that drop what a new leader does not list yet: the server's entry
+/// process freezes together with the loss of the leader, and the others go on to use the server.
 #[tokio::test]
 async fn change_of_leader_drops_no_server() {
     let mut cluster = common::start(3);
@@ -191,25 +191,34 @@
     for entry in &cluster.entry {
         answered(entry.entry()).await;
     }
+    let registrar = cluster.admin("GET", "/admin/v1/dump", "").await;
+    let registrar = registrar.json().expect("JSON")["servers"][0]["registrar"].clone();
+    let (registrar, others): (Vec<_>, Vec<_>) = cluster
+        .entry
+        .iter()
+        .partition(|entry| registrar == entry.name.as_str());
+    assert_eq!(others.len(), 2);
     let leader = cluster.leader().await;
+    registrar[0].signal("STOP");
     cluster.control[leader].kill();
     let start = time::Instant::now();
     let mut reasons = std::collections::BTreeMap::new();
-    // Long enough for the new table to become complete.
-    while start.elapsed() < time::Duration::from_secs(16) {
-        for entry in &cluster.entry {
+    // Shorter than the time after which the new leader's table is complete.
+    while start.elapsed() < time::Duration::from_secs(8) {
+        for entry in &others {
             let answer = lookup(entry.entry()).await.expect("answer");
             let reason = answer.header("nutmegdale-reason").to_owned();
             *reasons.entry(reason).or_insert(0) += 1;
         }
         tokio::time::sleep(time::Duration::from_millis(20)).await;
     }
+    registrar[0].signal("CONT");
     let mut refusals = reasons.keys().filter(|reason| !reason.is_empty());
     assert!(
         refusals.all(|reason| reason == "config-lease"),
         "{reasons:?}"
     );
-    for entry in &cluster.entry {
+    for entry in others {
         answered(entry.entry()).await;
     }
 }
