Check example settings and every settings fault, with line and key

New tests found two silent faults: a key that is set twice kept its last value, and members or operators could be listed twice. A member was also accepted with another region than its process.

--- a/crates/daemon/examples/measure_control.rs
+++ b/crates/daemon/examples/measure_control.rs
@@ -92,7 +92,7 @@
 fn start(entries: usize) -> cluster::Cluster {
     cluster::Cluster::start(&cluster::Plan {
         program: program(),
-        control: vec![PLACE],
+        control: vec![PLACE; 3],
         entry: vec![PLACE; entries],
     })
 }
@@ -213,9 +213,9 @@
     );
 }
 
-/// Makes the entry processes reach the control process through a relay that counts.
-async fn through_relay(cluster: &mut cluster::Cluster) -> sync::Arc<Counter> {
-    let control = cluster.control[0].control();
+/// Makes the entry processes reach the leader through a relay that counts.
+async fn through_relay(cluster: &mut cluster::Cluster, leader: usize) -> sync::Arc<Counter> {
+    let control = cluster.control[leader].control();
     let address = cluster.standin_address();
     let counter = relay(address, control).await;
     let mut entries = std::mem::take(&mut cluster.entry);
@@ -223,7 +223,12 @@
         entry.kill();
         let path = cluster.folder().join(format!("{}.ini", entry.name));
         let text = fs::read_to_string(&path).expect("settings");
-        let text = text.replace(&control.to_string(), &address.to_string());
+        let is_list = |line: &&str| line.starts_with("control = ");
+        let list = text
+            .lines()
+            .find(is_list)
+            .expect("list of control processes");
+        let text = text.replace(list, &format!("control = {address}"));
         fs::write(&path, text).expect("settings can be written");
         cluster.restart(entry);
     }
@@ -269,26 +274,20 @@
 
     let mut cluster = start(ENTRIES_COUNT);
     first_catalogue(&cluster).await;
-    let syncs = through_relay(&mut cluster).await;
+    let leader = cluster.leader().await;
+    let syncs = through_relay(&mut cluster, leader).await;
     tokio::time::sleep(time::Duration::from_secs(2)).await;
     let announcements = announce_all(&mut cluster).await;
     let limit = time::Duration::from_secs(60);
     cluster::eventually(limit, "every server", || is_listed(&cluster)).await;
     tokio::time::sleep(time::Duration::from_secs(5)).await;
     println!("{SERVERS_COUNT} servers, {ENTRIES_COUNT} entry processes");
-    watch("control process", &cluster.control[0], &[&*syncs]).await;
-    watch(
-        "entry process, announcements",
-        &cluster.entry[0],
-        &[&*announcements],
-    )
-    .await;
+    let (first, follower) = (&cluster.control[leader], &cluster.control[(leader + 1) % 3]);
+    watch("leader, syncs", first, &[&*syncs]).await;
+    watch("follower, no bytes counted", follower, &[]).await;
+    let entry = &cluster.entry[0];
+    watch("entry process, announcements", entry, &[&*announcements]).await;
     measure_in_force(&cluster, time::Duration::from_millis(150), "single").await;
     measure_in_force(&cluster, time::Duration::ZERO, "burst").await;
-    watch(
-        "control process after the changes",
-        &cluster.control[0],
-        &[&*syncs],
-    )
-    .await;
+    watch("leader after the changes, syncs", first, &[&*syncs]).await;
 }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -50,6 +50,7 @@
     };
     let settings = cx.settings();
     cx.check_unused();
+    cx.check_repeated();
     if cx.faults.is_empty() {
         Ok(settings)
     } else {
@@ -281,17 +282,33 @@
         let is_listed = control
             .members
             .iter()
-            .any(|m| m.name == process.name && m.address == control.listen);
+            .any(|m| *m == own(process, control.listen));
         if !control.members.is_empty() && !is_listed {
-            let rule = format!(
-                "must list this process as {}@REGION={}",
-                process.name, control.listen
-            );
+            let (name, region, listen) = (&process.name, &process.region, control.listen);
+            let rule = format!("must list this process as {name}@{region}={listen}");
             self.fault("control", "members", rule);
         }
+        self.check_control(&control);
         control
     }
 
+    fn check_control(&mut self, control: &model::Control) {
+        for (at, member) in control.members.iter().enumerate() {
+            let same = |m: &model::Member| m.name == member.name || m.address == member.address;
+            if control.members[..at].iter().any(same) {
+                let rule = format!("lists {:?} or its address twice", member.name);
+                self.fault("control", "members", rule);
+            }
+        }
+        for (at, operator) in control.operators.iter().enumerate() {
+            let same = |o: &model::Operator| o.name == operator.name || o.token == operator.token;
+            if control.operators[..at].iter().any(same) {
+                let rule = format!("lists {:?} or its token twice", operator.name);
+                self.fault("control", "operators", rule);
+            }
+        }
+    }
+
     fn members(&mut self) -> Vec<model::Member> {
         let mut members = Vec::new();
         for item in self.list("control", "members") {
@@ -325,6 +342,27 @@
         operators
     }
 
+    /// The INI reader keeps the last value of a key that is set twice, which hides the first one.
+    fn check_repeated(&mut self) {
+        let mut section = "";
+        let mut seen = collections::HashSet::new();
+        for (number, line) in self.text.lines().enumerate() {
+            let line = line.trim();
+            if let Some(name) = line.strip_prefix('[').and_then(|l| l.strip_suffix(']')) {
+                section = name;
+            } else if let Some((key, _)) = line.split_once('=')
+                && !line.starts_with([';', '#'])
+                && !seen.insert((section, key.trim()))
+            {
+                self.faults.push(Fault {
+                    line: number + 1,
+                    key: format!("{section}.{}", key.trim()),
+                    rule: "is set twice".to_owned(),
+                });
+            }
+        }
+    }
+
     fn check_unused(&mut self) {
         for (section, properties) in self.ini {
             let section = section.unwrap_or("");
@@ -341,6 +379,14 @@
     }
 }
 
+fn own(process: &model::Process, listen: net::SocketAddr) -> model::Member {
+    model::Member {
+        name: process.name.clone(),
+        region: process.region.clone(),
+        address: listen,
+    }
+}
+
 fn parse_member(item: &str) -> Option<model::Member> {
     let (place, address) = item.split_once('=')?;
     let (name, region) = place.split_once('@')?;
