Keep the record of one-time requests in a group per region

The control processes of a region now host the group ledger-REGION and answer claim, record, release, mark-unknown and lookup; lookups wait for the quorum's confirmation. A control process refuses calls for another region. One Expire command lets at most 20 s pass: a leader that was stopped for ten minutes would otherwise have expired a claim granted just before it counted its stop, while the claimant could still send.

A sync brings the list of control processes to an entry process that holds another list, since settings name only addresses; the revision keeps it out of all other syncs.

--- a/crates/base/src/header.rs
+++ b/crates/base/src/header.rs
@@ -15,6 +15,8 @@
 pub const DEADLINE_MS: &str = "nutmegdale-deadline-ms";
 /// Key that identifies a one-time request across resends.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Present on an answer that comes from the record of one-time requests; its only value is `true`.
+pub const REPLAYED: &str = "nutmegdale-replayed";
 /// Load report of a backend server on an answer.
 pub const LOAD: &str = "nutmegdale-load";
 /// Statement of a backend server that it did not run a request; its only value is `not-run`.
--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -95,6 +95,8 @@
     Key = "key",
     /// An earlier send of the same one-time request has not ended.
     Pending = "pending",
+    /// An earlier send of the same one-time request broke off and may have run.
+    EarlierSend = "earlier-send",
 }
 
 impl fmt::Display for Reason {
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -204,6 +204,7 @@
             freed.mark_unchanged();
             let now = self.clock.now();
             let has_news = self.state().leader.has_free(now, req)
+                || self.control_list().revision != req.control
                 || *versions.borrow_and_update() > req.version.0
                 || hold::has_news(*marks.borrow_and_update(), req.position);
             match hold::next(now, held, has_news) {
@@ -231,6 +232,7 @@
             }
             _ => message::Update::Whole(Box::new(accepted.config.as_ref().clone())),
         });
+        let control = self.control_list();
         let mut state = self.state();
         state.table.note_answer(now, &req.entry.name);
         message::SyncReply::Confirmed(Box::new(message::Confirmed {
@@ -241,8 +243,20 @@
             wants_all,
             grants: state.leader.grant(now, req),
             shares: state.leader.shares_of(&req.entry.name, &state.table),
+            control: (control.revision != req.control).then_some(control),
         }))
     }
+
+    /// Returns the control processes, which are the members of the catalogue's group.
+    fn control_list(&self) -> message::ControlList {
+        let status = self.group.status();
+        let members = status.members.members.iter().map(|m| message::ControlMember {
+            name: m.name.clone(),
+            region: m.region.clone(),
+            address: m.address,
+        });
+        message::ControlList::new(members.collect())
+    }
 }
 
 /// Leaves out what the receiver holds anyhow.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! [`catalogue::Machine`] applies changes and publishes each accepted configuration by an atomic
 //! pointer swap; [`hub::Hub`] answers syncs of entry processes after a quorum confirmed the lead;
+//! [`ledger::Ledger`] keeps the record of one-time requests of the process's region;
 //! [`api::Api`] answers operators, and [`admin::Admin`] is its HTTP front. Decisions lie in the pure crates. See
 //! [docs/design.md](../../../docs/design.md), sections 4 to 6.
 
@@ -13,6 +14,7 @@
 pub mod groups;
 pub mod hub;
 pub mod leader;
+pub mod ledger;
 mod members;
 pub mod peers;
 pub mod replicas;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,6 +1,6 @@
 //! The control role of a process.
 
-use crate::{admin, api, catalogue, groups, hub, replicas};
+use crate::{admin, api, catalogue, groups, hub, ledger, replicas};
 use bytes::Bytes;
 use nutmegdale_base::clock;
 use nutmegdale_rpc::{client, listen, message, server};
@@ -33,6 +33,8 @@
     let host = groups::Host::new(process, control, sync::Arc::clone(&clock), log.clone());
     let members = &control.members;
     let group = groups::start(&host, groups::CATALOGUE, members, Box::new(machine))?;
+    let ledger = ledger::Ledger::start(&host, process, control, sync::Arc::clone(&clock))?;
+    tokio::spawn(sync::Arc::clone(&ledger).keep_time(stop.clone()));
     let hub = sync::Arc::new(hub::Hub::new(
         clock,
         group.clone(),
@@ -46,6 +48,7 @@
         hub: sync::Arc::clone(&hub),
         host: sync::Arc::clone(&host),
         api: sync::Arc::clone(&api),
+        ledger,
         client: sync::Arc::new(client::Client::new(&process.cluster_token)),
     });
     let peers = sync::Arc::new(server::CallService::new(&process.cluster_token, calls));
@@ -76,6 +79,7 @@
     hub: sync::Arc<hub::Hub>,
     host: sync::Arc<groups::Host>,
     api: sync::Arc<api::Api>,
+    ledger: sync::Arc<ledger::Ledger>,
     client: sync::Arc<client::Client>,
 }
 
@@ -95,7 +99,11 @@
                     server::encode(&reply)
                 }))
             }
-            other => self.host.call(other, body),
+            other => {
+                let ledger = sync::Arc::clone(&self.ledger);
+                let call = self.host.call(other, body.clone());
+                call.or_else(|| ledger.call(other, body))
+            }
         }
     }
 }
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -11,8 +11,12 @@
 pub const EXPIRE_MAX_COUNT: usize = 1_024;
 /// Longest time that one attempt may take.
 pub const RUN_MAX_MS: clock::Millis = clock::Millis(15 * 60 * 1_000);
-/// Shortest time that an outcome is kept. It exceeds the time between an entry process's check of
-/// its clock and its first byte to a server, so that no attempt starts after its record expired.
+/// Longest time that one `Expire` command lets pass, so that a leader that was stopped for long does
+/// not let claims expire that were granted just before it counts the time of its stop.
+pub const ELAPSED_MAX_MS: clock::Millis = clock::Millis(20_000);
+/// Shortest time that an outcome is kept. It exceeds [`ELAPSED_MAX_MS`], by which a claim may end
+/// early, and the time between an entry process's check of its clock and its first byte to a
+/// server, so that no attempt starts after its record expired.
 pub const KEEP_MIN_MS: clock::Millis = clock::Millis(60_000);
 /// Time that released attempts are remembered, so that a late claim of theirs is not granted.
 pub const RELEASED_KEEP_MS: clock::Millis = clock::Millis(10 * 60 * 1_000);
@@ -309,7 +313,7 @@
     }
 
     fn expire(&mut self, elapsed: clock::Millis) -> bool {
-        self.now = self.now + elapsed;
+        self.now = self.now + elapsed.min(ELAPSED_MAX_MS);
         for _ in 0..EXPIRE_MAX_COUNT {
             let Some((due, key)) = self.due.first().copied() else {
                 return false;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,6 +1,6 @@
 //! Messages between the system's own processes: HTTP/1.1 with MessagePack bodies.
 //!
-//! [`message`] holds the message types that are not part of a pure crate, [`client`] keeps one
+//! [`message`] and [`ledger`] hold the message types that are not part of a pure crate, [`client`] keeps one
 //! connection per peer, [`server`] answers calls through the [`server::Handler`] trait and
 //! [`listen`] is the bounded HTTP listener that every service of a process uses. Decisions never
 //! see HTTP or MessagePack. The messages are listed in [docs/design.md](../../../docs/design.md),
@@ -8,6 +8,7 @@
 
 pub mod client;
 pub mod error;
+pub mod ledger;
 pub mod listen;
 pub mod message;
 pub mod server;
--- a/crates/rpc/src/message.rs
+++ b/crates/rpc/src/message.rs
@@ -21,6 +21,41 @@
 /// Largest body of a call or its answer, in bytes.
 pub const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
 
+/// Control process as entry processes know it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlMember {
+    /// Name of the process.
+    pub name: String,
+    /// Region that it runs in.
+    pub region: String,
+    /// Address that the system's processes connect to.
+    pub address: net::SocketAddr,
+}
+
+/// Control processes of the system.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlList {
+    /// Number that another list does not have, so that the list travels only when it is new; 0 for
+    /// the list of an entry process that has none.
+    pub revision: u32,
+    /// Members.
+    pub members: Vec<ControlMember>,
+}
+
+impl ControlList {
+    /// Creates the list of `members`.
+    pub fn new(members: Vec<ControlMember>) -> ControlList {
+        let revision = fnv1a(format!("{members:?}").as_bytes()).max(1);
+        ControlList { revision, members }
+    }
+}
+
+/// 32-bit FNV-1a, which every build computes alike, unlike the standard library's hasher.
+fn fnv1a(bytes: &[u8]) -> u32 {
+    let step = |hash: u32, byte: &u8| (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193);
+    bytes.iter().fold(0x811c_9dc5, step)
+}
+
 /// Sync of an entry process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
@@ -43,6 +78,8 @@
     /// Demand for limited routes and accounts.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub demands: Vec<shares::Demand>,
+    /// Revision of the list of control processes that it holds.
+    pub control: u32,
     /// Whether the answer may be held until something changes.
     pub may_hold: bool,
     /// Whether a follower should pass the sync on, since the leader could not be reached.
@@ -83,6 +120,9 @@
     /// Shares of the limits in demand.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub shares: Vec<shares::Share>,
+    /// The list of control processes, if the entry process holds another one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub control: Option<ControlList>,
 }
 
 /// Answer to a sync.
