Run one-time requests under a claim and replay recorded answers

Requests of the class one-time-filing were forwarded like reads, so a resend ran again.

An entry process now claims the key in the route's ledger region, sends once, records the answer and tells the caller; the work runs on its own task, so a caller that goes away neither leaves a claim behind nor loses the answer. A gate decides once between sending and giving up, so a request whose deadline passed while a connection was opened is not sent after its caller was told not-run. GET /.nutmegdale/outcome tells what is known. An unclaimed key is reported as unknown, since a send under way may still claim it.

--- a/crates/admission/src/deadline.rs
+++ b/crates/admission/src/deadline.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Returns the deadline `span` later.
+    pub fn extended(self, span: clock::Millis) -> Deadline {
+        Deadline {
+            ends: self.ends + span,
+        }
+    }
+
     /// Returns the time left, or `None` if the deadline has passed.
     pub fn left(self, now: clock::Millis) -> Option<clock::Millis> {
         let left = self.ends.since(now);
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -250,11 +250,15 @@
     /// Returns the control processes, which are the members of the catalogue's group.
     fn control_list(&self) -> message::ControlList {
         let status = self.group.status();
-        let members = status.members.members.iter().map(|m| message::ControlMember {
-            name: m.name.clone(),
-            region: m.region.clone(),
-            address: m.address,
-        });
+        let members = status
+            .members
+            .members
+            .iter()
+            .map(|m| message::ControlMember {
+                name: m.name.clone(),
+                region: m.region.clone(),
+                address: m.address,
+            });
         message::ControlList::new(members.collect())
     }
 }
--- a/crates/daemon/tests/control_group.rs
+++ b/crates/daemon/tests/control_group.rs
@@ -146,6 +146,7 @@
         position: directory::Position::default(),
         changed: Vec::new(),
         is_all: true,
+        control: 0,
         heard: Vec::new(),
         grants: Default::default(),
         demands: Vec::new(),
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -277,6 +277,7 @@
         position: directory::Position::default(),
         changed: Vec::new(),
         is_all: true,
+        control: 0,
         heard: Vec::new(),
         grants: Default::default(),
         demands: Vec::new(),
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -11,7 +11,7 @@
 use crate::recheck;
 use crate::snapshot;
 use hyper::body::Body;
-use nutmegdale_base::{class, entity, outcome, rng};
+use nutmegdale_base::{class, clock, entity, outcome, rng};
 use nutmegdale_choice::policy;
 use nutmegdale_grants::lease;
 use nutmegdale_routing::permit;
@@ -46,6 +46,23 @@
     pub lease: Option<sync::Arc<lease::Lease>>,
 }
 
+/// Rules of one send beyond those of its request.
+#[derive(Clone, Copy)]
+pub struct Rules<'a> {
+    /// Time after the deadline in which the head of a late answer is still taken.
+    pub late_ms: clock::Millis,
+    /// Asked last, right before the first byte.
+    pub may_send: &'a (dyn Fn() -> bool + Sync),
+}
+
+impl std::fmt::Debug for Rules<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Rules")
+            .field("late_ms", &self.late_ms)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Answer with the region of the server that gave it.
 type Answered = (hyper::Response<listen::Body>, entity::Region);
 type Sending<'a> = pin::Pin<Box<dyn Future<Output = forward::Attempt> + Send + 'a>>;
@@ -121,6 +138,22 @@
         checked: &check::Checked,
         chosen: Chosen,
         req: hyper::Request<listen::Body>,
+    ) -> forward::Attempt {
+        let rules = Rules {
+            late_ms: clock::Millis::ZERO,
+            may_send: &|| true,
+        };
+        self.send_by(snapshot, checked, chosen, req, rules).await
+    }
+
+    /// As [`proxy::Shared::send`], under rules of the caller's own.
+    pub async fn send_by(
+        &self,
+        snapshot: &snapshot::Snapshot,
+        checked: &check::Checked,
+        chosen: Chosen,
+        req: hyper::Request<listen::Body>,
+        rules: Rules<'_>,
     ) -> forward::Attempt {
         let server = chosen.server;
         let live = &snapshot.live[server];
@@ -130,8 +163,11 @@
             return forward::Attempt::NotRun(outcome::Reason::HomeRegion, Some(req));
         }
         let mut deadline = checked.deadline;
+        let mut answer_by = deadline.extended(rules.late_ms);
         if is_cold {
-            deadline = deadline.within(self.clock.now(), flight::COLD_WORK_MS);
+            let now = self.clock.now();
+            deadline = deadline.within(now, flight::COLD_WORK_MS);
+            answer_by = answer_by.within(now, flight::COLD_WORK_MS);
         }
         let may_send = || {
             if !self.published.has_lease(self.clock.now()) {
@@ -144,11 +180,12 @@
             if is_cold && !live.lease.is_valid(self.clock.now()) {
                 return Err(outcome::Reason::Overload);
             }
-            Ok(())
+            let may_send = (rules.may_send)();
+            may_send.then_some(()).ok_or(outcome::Reason::Deadline)
         };
         let counts = &snapshot.counts;
         let sent = counts.begin(&snapshot.view, checked.route, chosen.server);
-        let attempt = forward::send(flight, req, deadline, may_send).await;
+        let attempt = forward::send(flight, req, deadline, answer_by, may_send).await;
         sent.end(&attempt);
         attempt
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -28,13 +28,15 @@
     Unknown(outcome::Reason),
 }
 
-/// Sends `req` to the server of `flight` within the deadline.
+/// Sends `req` to the server of `flight` within the deadline and waits for the head of its answer
+/// until `answer_by`, which is not earlier.
 ///
 /// `may_send` is asked once a connection is there, right before the first byte.
 pub async fn send(
     mut flight: flight::Flight,
     mut req: hyper::Request<listen::Body>,
     deadline: deadline::Deadline,
+    answer_by: deadline::Deadline,
     may_send: impl Fn() -> Result<(), outcome::Reason>,
 ) -> Attempt {
     use outcome::Reason;
@@ -73,7 +75,8 @@
     req.headers_mut()
         .insert(&head::DEADLINE_MS, http::HeaderValue::from(left.0));
     let sent = sender.try_send_request(req);
-    let response = match tokio::time::timeout(span(left), sent).await {
+    let wait = answer_by.left(flight.now()).unwrap_or(left);
+    let response = match tokio::time::timeout(span(wait), sent).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut err)) => {
             flight.failed();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The path of a request reads one immutable [`snapshot::Snapshot`], published by an atomic pointer
 //! swap, and counts in atomics; [`sync`] keeps the snapshot current and [`forward`] is the only
-//! module that sends a request to a server. Decisions lie in the pure crates. See
+//! module that sends a request to a server. [`one_time`] runs non-idempotent requests under a claim
+//! from [`ledger_client`]. Decisions lie in the pure crates. See
 //! [docs/design.md](../../../docs/design.md), sections 6 and 8.
 
 pub mod asks;
@@ -13,9 +14,11 @@
 pub mod follow;
 pub mod forward;
 pub mod head;
+pub mod ledger_client;
 pub mod live;
 pub mod meter;
 pub mod observe;
+pub mod one_time;
 pub mod peers;
 pub mod pool;
 pub mod proxy;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -3,6 +3,7 @@
 use crate::check;
 use crate::head;
 use crate::meter;
+use crate::one_time;
 use crate::reserved;
 use crate::response;
 use crate::snapshot;
@@ -34,6 +35,8 @@
     pub measuring: measuring::Budget,
     /// Told when an answer names a server's state that the leader may not know.
     pub heard: sync::Arc<tokio::sync::Notify>,
+    /// Requests that run at most once.
+    pub one_time: one_time::OneTime,
     /// Requests that the entry VM answers itself.
     pub reserved: reserved::Reserved,
     /// Whether the process is shutting down.
@@ -80,7 +83,10 @@
 }
 
 impl Shared {
-    async fn answer(&self, req: hyper::Request<body::Incoming>) -> hyper::Response<listen::Body> {
+    async fn answer(
+        self: &sync::Arc<Self>,
+        req: hyper::Request<body::Incoming>,
+    ) -> hyper::Response<listen::Body> {
         let started = time::Instant::now();
         let number = self.next_request.fetch_add(1, atomic::Ordering::Relaxed);
         let snapshot = self.published.load();
@@ -101,6 +107,17 @@
         let limit = check::body_limit(&snapshot, &checked);
         let mut req = req.map(|incoming| limited(incoming, body_bytes, limit));
         self.prepare(&mut req, number);
+        if checked.class == class::Class::OneTimeFiling {
+            let view = sync::Arc::clone(&snapshot);
+            let (answer, outcome) = one_time::answer(self, snapshot, checked, req).await;
+            if outcome == outcome::Outcome::Answered {
+                self.requests
+                    .count(Some(checked.priority), outcome, started.elapsed());
+            } else {
+                self.count_failure(started, number, &view, Some(&checked), outcome);
+            }
+            return answer.map(|inner| self.metered(inner, admitted, false));
+        }
         match self.forward(&snapshot, &checked, req).await {
             Ok((mut answer, region)) => {
                 head::strip_hop_headers(answer.headers_mut());
--- a/crates/entry/src/reserved.rs
+++ b/crates/entry/src/reserved.rs
@@ -1,5 +1,6 @@
 //! Requests that an entry VM answers itself: address lists and announcements of servers.
 
+use crate::one_time;
 use crate::proxy;
 use crate::response;
 use http_body_util::BodyExt;
@@ -67,6 +68,7 @@
             .unwrap_or("");
         match (req.method().as_str(), path) {
             ("GET", "addresses") => self.addresses(shared, req.uri().query().unwrap_or("")),
+            ("GET", "outcome") => one_time::outcome::answer(shared, &req.into_parts().0).await,
             ("POST", "announce") => self.announce(shared, req.into_body()).await,
             _ => error(hyper::StatusCode::NOT_FOUND, "path", "no such resource"),
         }
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -78,7 +78,7 @@
         Reason::Limit => hyper::StatusCode::TOO_MANY_REQUESTS,
         Reason::Deadline => hyper::StatusCode::GATEWAY_TIMEOUT,
         Reason::BrokenAnswer => hyper::StatusCode::BAD_GATEWAY,
-        Reason::Key | Reason::Pending => hyper::StatusCode::CONFLICT,
+        Reason::Key | Reason::Pending | Reason::EarlierSend => hyper::StatusCode::CONFLICT,
         Reason::ConfigLease
         | Reason::ZoneOut
         | Reason::ShuttingDown
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -1,6 +1,6 @@
 //! The entry role of a process.
 
-use crate::{audit, observe, proxy, reserved, snapshot, sync as syncer};
+use crate::{audit, observe, one_time, proxy, reserved, snapshot, sync as syncer};
 use nutmegdale_admission::{bulk, measuring};
 use nutmegdale_base::clock;
 use nutmegdale_catalogue::config;
@@ -45,6 +45,7 @@
         bulk_link: sync::Arc::new(bulk::BulkLink::new()),
         measuring: measuring::Budget::new(entry.measuring_bytes_per_second),
         heard: sync::Arc::new(tokio::sync::Notify::new()),
+        one_time: one_time::OneTime::new(process),
         reserved: reserved::Reserved {
             local: sync::Mutex::new(local::LocalTable::new()),
             local_changed: watch::Sender::new(()),
@@ -89,11 +90,12 @@
     tokio::time::sleep(time::Duration::from_millis(leave.0)).await;
     close_tx.send_replace(true);
     let is_drained = serving.await.unwrap_or(false);
+    let is_recorded = shared.one_time.wait_idle(entry.drain_ms).await;
     drop(syncing.await);
     // Metrics and the dump stay readable until the last request has ended.
     observed_tx.send_replace(true);
     drop(observing.await);
-    slog::info!(log, "entry role stopped"; "all_requests_ended" => is_drained);
+    slog::info!(log, "entry role stopped"; "all_requests_ended" => is_drained && is_recorded);
     Ok(())
 }
 
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -126,6 +126,7 @@
             position: self.follower.directory().position(),
             changed: announced.changed,
             is_all: announced.is_all,
+            control: self.shared.one_time.control_revision(),
             heard: asked.heard,
             grants: asked.grants,
             demands: asked.demands,
@@ -145,7 +146,10 @@
         let reply = self.call(peer, &req).await;
         let now = self.shared.clock.now();
         match reply {
-            Ok((sent, message::SyncReply::Confirmed(confirmed))) => {
+            Ok((sent, message::SyncReply::Confirmed(mut confirmed))) => {
+                if let Some(control) = confirmed.control.take() {
+                    self.shared.one_time.set_control(control);
+                }
                 if confirmed.wants_all {
                     // Another leader has no counts yet.
                     self.audit.forget_acked();
--- a/crates/entry/tests/follow.rs
+++ b/crates/entry/tests/follow.rs
@@ -32,6 +32,7 @@
         update,
         delta: directory::Delta::default(),
         wants_all: false,
+        control: None,
         grants: Vec::new(),
         shares: Vec::new(),
     }
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -112,6 +112,8 @@
 pub struct EntryView {
     /// Name.
     pub name: String,
+    /// Random number of this start of the process.
+    pub boot: u64,
     /// Address for callers.
     pub address: net::SocketAddr,
     /// Region of its zone.
@@ -383,6 +385,7 @@
             };
             self.entries.push(EntryView {
                 name: record.name.clone(),
+                boot: record.boot,
                 address: record.address,
                 region: self.zones[zone].region,
                 distance: self.distance(zone),
--- a/crates/testkit/src/standin.rs
+++ b/crates/testkit/src/standin.rs
@@ -40,7 +40,22 @@
         entries: Vec<net::SocketAddr>,
         behaviour: Behaviour,
     ) -> std::io::Result<StandIn> {
-        let listener = listen::bind(announced.address).await?;
+        let listen = announced.address;
+        StandIn::start_behind(announced, listen, entries, behaviour).await
+    }
+
+    /// Starts a stand-in at `listen` that announces another address, as of a link in front of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if the address cannot be bound.
+    pub async fn start_behind(
+        announced: announcement::Announcement,
+        listen: net::SocketAddr,
+        entries: Vec<net::SocketAddr>,
+        behaviour: Behaviour,
+    ) -> std::io::Result<StandIn> {
+        let listener = listen::bind(listen).await?;
         let shared = sync::Arc::new(Shared::new(announced.clone(), behaviour));
         let mut tasks = task::JoinSet::new();
         tasks.spawn(accept::run(sync::Arc::clone(&shared), listener));
