--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -25,6 +25,9 @@
 const FENCES_MAX_COUNT: usize = 8;
 
 /// Bounds of the record. They are part of the state machine: all replicas must have the same.
+///
+/// The defaults keep a control process below 128 MB with a full record, which counts about three
+/// times: in the state, in the newest snapshot and in the next one while it is written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
     /// Records; beyond it claims of new keys are refused.
@@ -36,8 +39,8 @@
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
-            records_max_count: 400_000,
-            answers_max_bytes: 32 * 1024 * 1024,
+            records_max_count: 100_000,
+            answers_max_bytes: 16 * 1024 * 1024,
         }
     }
 }
