--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -11,8 +11,12 @@
 pub const EXPIRE_MAX_COUNT: usize = 1_024;
 /// Longest time that one attempt may take.
 pub const RUN_MAX_MS: clock::Millis = clock::Millis(15 * 60 * 1_000);
-/// Shortest time that an outcome is kept. It exceeds the time between an entry process's check of
-/// its clock and its first byte to a server, so that no attempt starts after its record expired.
+/// Longest time that one `Expire` command lets pass, so that a leader that was stopped for long does
+/// not let claims expire that were granted just before it counts the time of its stop.
+pub const ELAPSED_MAX_MS: clock::Millis = clock::Millis(20_000);
+/// Shortest time that an outcome is kept. It exceeds [`ELAPSED_MAX_MS`], by which a claim may end
+/// early, and the time between an entry process's check of its clock and its first byte to a
+/// server, so that no attempt starts after its record expired.
 pub const KEEP_MIN_MS: clock::Millis = clock::Millis(60_000);
 /// Time that released attempts are remembered, so that a late claim of theirs is not granted.
 pub const RELEASED_KEEP_MS: clock::Millis = clock::Millis(10 * 60 * 1_000);
@@ -21,6 +25,9 @@
 const FENCES_MAX_COUNT: usize = 8;
 
 /// Bounds of the record. They are part of the state machine: all replicas must have the same.
+///
+/// The defaults keep a control process below 128 MB with a full record, which counts about three
+/// times: in the state, in the newest snapshot and in the next one while it is written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
     /// Records; beyond it claims of new keys are refused.
@@ -32,8 +39,8 @@
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
-            records_max_count: 400_000,
-            answers_max_bytes: 32 * 1024 * 1024,
+            records_max_count: 100_000,
+            answers_max_bytes: 16 * 1024 * 1024,
         }
     }
 }
@@ -309,7 +316,7 @@
     }
 
     fn expire(&mut self, elapsed: clock::Millis) -> bool {
-        self.now = self.now + elapsed;
+        self.now = self.now + elapsed.min(ELAPSED_MAX_MS);
         for _ in 0..EXPIRE_MAX_COUNT {
             let Some((due, key)) = self.due.first().copied() else {
                 return false;
