Keep the configuration lease when the measuring budget is spent

A sync waited until the budget of the link between regions allowed it. After one answer with much content, such as the whole table of 890 servers on a change of leader, that takes longer than the lease, so every entry process would refuse work. Raising the budget was ruled out: the debt grows with the table.

The budget now holds a sync up for at most 1 s; what is sent beyond it is owed.

--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -303,3 +303,35 @@
         "violation: 3 requests of rogue under version 2: zone \"zone-a\" is out of service";
     assert!(ran.out.contains(expected), "{ran:?}");
 }
+
+/// Guards against a measuring budget that ends the configuration lease: after an answer that costs
+/// many times the budget of a second, syncs must go on.
+#[tokio::test]
+async fn spent_measuring_budget_does_not_end_the_lease() {
+    let mut cluster = common::start(1);
+    apply_first(&cluster).await;
+    let _server = server(&mut cluster, "reads-1", "zone-a").await;
+    let account = |n: u32| {
+        json!({ "op": "put-account", "account":
+            { "name": format!("account-{n}"), "owner": "Ann", "class": "bulk-export" } })
+    };
+    let accounts: Vec<Value> = (0..300).map(account).collect();
+    cluster.apply("many", &json!(accounts)).await;
+
+    let mut entry = cluster.entry.remove(2);
+    entry.kill();
+    let path = cluster.folder().join(format!("{}.ini", entry.name));
+    let settings = fs::read_to_string(&path).expect("settings");
+    let settings = format!("{settings}measuring_bytes_per_second = 1000\n");
+    fs::write(&path, settings).expect("settings can be written");
+    cluster.restart(&mut entry);
+    answered(entry.entry()).await;
+    let start = time::Instant::now();
+    while start.elapsed() < time::Duration::from_secs(8) {
+        let answer = lookup(entry.entry()).await.expect("answer");
+        let reason = answer.header("nutmegdale-reason");
+        assert_eq!(reason, "", "after {:?}", start.elapsed());
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    cluster.entry.push(entry);
+}
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -34,8 +34,10 @@
 
 /// Bytes of the heads of a call and its answer.
 const HEAD_BYTES: u64 = 300;
-/// Longest pause for the measuring budget, after which it is asked again.
-const BUDGET_PAUSE_MS: u64 = 500;
+/// Longest time that the measuring budget holds up a sync. One answer with the whole table of 890
+/// servers costs more than 20 s of the default budget, and a sync that waits for it would end the
+/// configuration lease; at one sync a second, the lease itself costs less than 1 KB a second.
+const BUDGET_WAIT_MS: clock::Millis = clock::Millis(1_000);
 
 /// State of the sync of one entry process.
 #[allow(missing_debug_implementations)] // Holds trait objects.
@@ -186,11 +188,19 @@
         Ok((sent, client::Client::decode(&reply)?))
     }
 
-    /// Waits until the measuring budget allows a message.
+    /// Waits until the measuring budget allows a message, at most for [`BUDGET_WAIT_MS`].
     async fn reserve(&self, reach: measuring::Reach, bytes: u64) {
         let budget = &self.shared.measuring;
+        let started = self.shared.clock.now();
         while let Err(wait) = budget.take(self.shared.clock.now(), reach, bytes) {
-            let pause_ms = wait.0.min(BUDGET_PAUSE_MS);
+            let now = self.shared.clock.now();
+            let left = BUDGET_WAIT_MS.since(now.since(started));
+            if left == clock::Millis::ZERO {
+                // What is sent beyond the budget is owed and holds up the next messages.
+                budget.answered(now, reach, bytes);
+                return;
+            }
+            let pause_ms = wait.min(left).0;
             tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
         }
     }
