--- a/crates/replay/src/plan.rs
+++ b/crates/replay/src/plan.rs
@@ -75,7 +75,7 @@
     plans.push(without("-latency", |p| p.uses_latency = false));
     plans.push(without("-errors", |p| p.uses_errors = false));
     plans.push(without("-near", |p| p.prefers_near = false));
-    plans.push(without("three-choices", |p| p.compared_count = 3));
+    plans.push(without("two-choices", |p| p.compared_count = 2));
     plans.push(Plan {
         probes_percent: 100,
         ..Plan::new("+probes", cost)
