Read load reports by bytes

Profile after the signals came onto the path: Report::parse took 1,669 instructions of each call, most of them for finding characters in UTF-8.

--- a/crates/choice/src/report.rs
+++ b/crates/choice/src/report.rs
@@ -32,12 +32,16 @@
         let mut running = None;
         let mut waiting = 0;
         let mut state = None;
-        for field in text.split(',') {
-            let (name, value) = field.trim().split_once('=')?;
+        // Every answer carries a report; searching characters instead of bytes cost 1,370
+        // instructions more per call.
+        for field in text.as_bytes().split(|byte| *byte == b',') {
+            let field = field.trim_ascii();
+            let at = field.iter().position(|byte| *byte == b'=')?;
+            let (name, value) = (&field[..at], &field[at + 1..]);
             match name {
-                "running" => running = Some(value.parse().ok()?),
-                "waiting" => waiting = value.parse().ok()?,
-                "state" => state = Some(parse_state(value)?),
+                b"running" => running = Some(parse_count(value)?),
+                b"waiting" => waiting = parse_count(value)?,
+                b"state" => state = Some(parse_state(value)?),
                 _ => {}
             }
         }
@@ -49,11 +53,21 @@
     }
 }
 
-fn parse_state(text: &str) -> Option<State> {
+fn parse_count(text: &[u8]) -> Option<u32> {
+    if text.is_empty() {
+        return None;
+    }
+    text.iter().try_fold(0_u32, |count, byte| {
+        let digit = byte.is_ascii_digit().then(|| u32::from(byte - b'0'))?;
+        count.checked_mul(10)?.checked_add(digit)
+    })
+}
+
+fn parse_state(text: &[u8]) -> Option<State> {
     match text {
-        "cold" => Some(State::Cold),
-        "warm" => Some(State::Warm),
-        "draining" => Some(State::Draining),
+        b"cold" => Some(State::Cold),
+        b"warm" => Some(State::Warm),
+        b"draining" => Some(State::Draining),
         _ => None,
     }
 }
