--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -43,7 +43,7 @@
         return Attempt::NotRun(Reason::Deadline, Some(req));
     };
     let checkout = flight.live.pool.checkout(flight.clock.as_ref());
-    let mut sender = match within(left, checkout).await {
+    let mut sender = match tokio::time::timeout(span(left), checkout).await {
         Ok(Ok(sender)) => sender,
         Ok(Err(pool::Error::Full)) => {
             flight.unsent();
@@ -108,19 +108,6 @@
     Attempt::Answered(response.map(|incoming| listen::Body::new(body(incoming))))
 }
 
-/// Waits for a future that mostly is ready at once, when no timer is needed.
-async fn within<F: Future>(
-    left: clock::Millis,
-    future: F,
-) -> Result<F::Output, tokio::time::error::Elapsed> {
-    let mut future = pin::pin!(future);
-    let first = std::future::poll_fn(|cx| task::Poll::Ready(future.as_mut().poll(cx))).await;
-    match first {
-        task::Poll::Ready(output) => Ok(output),
-        task::Poll::Pending => tokio::time::timeout(span(left), future).await,
-    }
-}
-
 fn span(left: clock::Millis) -> time::Duration {
     time::Duration::from_millis(left.0)
 }
