--- a/crates/control/examples/replication_cost.rs
+++ b/crates/control/examples/replication_cost.rs
@@ -19,7 +19,9 @@
 use std::os::unix::fs::FileExt;
 use std::path;
 use std::sync;
+use std::sync::atomic;
 use std::time;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::watch;
 
 /// Measures what replication and durability cost.
@@ -39,6 +41,10 @@
 }
 
 const PORT: u16 = 18_190;
+/// Time over which a quiet group is watched.
+const QUIET: time::Duration = time::Duration::from_secs(10);
+
+type Counter = sync::Arc<atomic::AtomicU64>;
 
 fn histogram() -> Histogram<u64> {
     Histogram::new(3).expect("bounds of the histogram")
@@ -105,7 +111,52 @@
     (0..count).map(member).collect()
 }
 
+/// Passes bytes of one direction on and counts them.
+async fn pass(mut from: impl AsyncRead + Unpin, mut to: impl AsyncWrite + Unpin, count: Counter) {
+    let mut buf = vec![0; 16 * 1024];
+    while let Ok(len) = from.read(&mut buf).await
+        && len > 0
+        && to.write_all(&buf[..len]).await.is_ok()
+    {
+        count.fetch_add(len as u64, atomic::Ordering::Relaxed);
+    }
+    // The other side may be gone already.
+    drop(to.shutdown().await);
+}
+
+/// Accepts at `near` and counts all bytes that pass to `far` and back.
+async fn relay(
+    near: net::SocketAddr,
+    far: net::SocketAddr,
+    count: Counter,
+) -> io::Result<tokio::task::JoinHandle<()>> {
+    let listener = tokio::net::TcpListener::bind(near).await?;
+    Ok(tokio::spawn(async move {
+        while let Ok((from, _)) = listener.accept().await {
+            let Ok(to) = tokio::net::TcpStream::connect(far).await else {
+                continue;
+            };
+            // Delayed packets only slow the relay down.
+            drop((from.set_nodelay(true), to.set_nodelay(true)));
+            let (from_read, from_write) = from.into_split();
+            let (to_read, to_write) = to.into_split();
+            tokio::spawn(pass(from_read, to_write, Counter::clone(&count)));
+            tokio::spawn(pass(to_read, from_write, Counter::clone(&count)));
+        }
+    }))
+}
+
 async fn start(folder: &path::Path, number: usize, count: usize) -> io::Result<Replica> {
+    start_at(folder, number, count, address(number)).await
+}
+
+/// Starts a replica that listens at `listen` and is reached at its usual address.
+async fn start_at(
+    folder: &path::Path,
+    number: usize,
+    count: usize,
+    listen_at: net::SocketAddr,
+) -> io::Result<Replica> {
     let process = model::Process {
         name: format!("control-{number}"),
         zone: "zone-a".to_owned(),
@@ -133,7 +184,7 @@
         host: sync::Arc::clone(&host),
     });
     let service = sync::Arc::new(server::CallService::new(&process.cluster_token, calls));
-    let listener = listen::bind(control.listen).await?;
+    let listener = listen::bind(listen_at).await?;
     let (stop, stopping) = watch::channel(false);
     let bounds = listen::Bounds::default();
     let drain = clock::Millis(100);
@@ -258,6 +309,57 @@
     Ok(())
 }
 
+/// Returns the processor time that this process has used, in hundredths of a second.
+fn cpu_ticks() -> u64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or("").split_whitespace();
+    let used = fields
+        .skip(11)
+        .take(2)
+        .filter_map(|f| f.parse::<u64>().ok());
+    used.sum()
+}
+
+/// Measures traffic and processor time of a group that only answers reads.
+async fn measure_quiet(args: &Args, count: usize, reads_per_second: u64) -> io::Result<()> {
+    let folder = args
+        .folder
+        .join(format!("quiet-{count}-{reads_per_second}"));
+    let bytes = Counter::default();
+    let (mut replicas, mut relays) = (Vec::new(), Vec::new());
+    for number in 0..count {
+        let near = address(number);
+        let far = net::SocketAddr::new(near.ip(), PORT + 1);
+        relays.push(relay(near, far, Counter::clone(&bytes)).await?);
+        replicas.push(start_at(&folder, number, count, far).await?);
+    }
+    let group = leader(&replicas).await;
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let (ticks, before) = (cpu_ticks(), bytes.load(atomic::Ordering::Relaxed));
+    let begin = time::Instant::now();
+    let mut spans = histogram();
+    for _ in 0..QUIET.as_secs() * reads_per_second {
+        let start = time::Instant::now();
+        drop(group.confirm().await);
+        record(&mut spans, start);
+        tokio::time::sleep(time::Duration::from_millis(1_000 / reads_per_second.max(1))).await;
+    }
+    tokio::time::sleep(QUIET.saturating_sub(begin.elapsed())).await;
+    let seconds = begin.elapsed().as_secs_f64();
+    let sent = (bytes.load(atomic::Ordering::Relaxed) - before) as f64 / seconds;
+    let cpu = (cpu_ticks() - ticks) as f64 / seconds;
+    println!(
+        "quiet group of {count}, {reads_per_second} reads/s: {sent:.0} bytes/s over all links, \
+         {cpu:.1}% of a core for all replicas and relays"
+    );
+    show("  read", &spans, None);
+    stop(replicas).await;
+    for relay in relays {
+        relay.abort();
+    }
+    Ok(())
+}
+
 async fn measure_recovery(args: &Args, changes: u64) -> io::Result<()> {
     let folder = args.folder.join(format!("recovery-{changes}"));
     let replicas = vec![start(&folder, 0, 1).await?];
@@ -294,5 +396,8 @@
         let changes = changes.trim().parse().map_err(io::Error::other)?;
         measure_recovery(&args, changes).await?;
     }
+    for (count, reads_per_second) in [(3, 0), (3, 40)] {
+        measure_quiet(&args, count, reads_per_second).await?;
+    }
     fs::remove_dir_all(&args.folder)
 }
--- a/crates/rpc/src/listen.rs
+++ b/crates/rpc/src/listen.rs
@@ -76,7 +76,8 @@
 ///
 /// Returns the error of the operating system.
 pub async fn bind(address: net::SocketAddr) -> std::io::Result<tokio::net::TcpListener> {
-    tokio::net::TcpListener::bind(address).await
+    let bound = tokio::net::TcpListener::bind(address).await;
+    bound.map_err(|err| std::io::Error::new(err.kind(), format!("listen at {address}: {err}")))
 }
 
 /// Serves a listener until `stop` turns true, then lets every request end within `drain`.
--- a/crates/testkit/src/addresses.rs
+++ b/crates/testkit/src/addresses.rs
@@ -6,26 +6,41 @@
 
 /// Port of a stand-in or a link.
 const STANDIN_PORT: u16 = 18100;
+/// Port whose listener reserves a network.
+const LOCK_PORT: u16 = 18099;
+/// Networks between 127.128.0.0 and 127.255.255.0.
+const NETWORKS_COUNT: u32 = 0x8000;
 
 /// Source of the addresses of one test.
 #[derive(Debug)]
 pub struct Addresses {
     net: [u8; 2],
     next: u8,
+    /// Holds the network against other tests, of this process and of others.
+    _lock: net::TcpListener,
 }
 
 impl Addresses {
-    /// Reserves a network of 255 addresses.
+    /// Reserves a network of 254 addresses until the value is dropped.
     pub fn reserve() -> Addresses {
         static NETWORKS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
-        let network = NETWORKS.fetch_add(1, atomic::Ordering::Relaxed);
         // Process ids of test processes that run at once differ in their low bits.
-        let number = process::id().wrapping_mul(8).wrapping_add(network % 8) & 0x7fff;
-        let [_, _, high, low] = number.to_be_bytes();
-        Addresses {
-            net: [high | 0x80, low],
-            next: 0,
+        let first = process::id().wrapping_mul(8);
+        for _ in 0..NETWORKS_COUNT {
+            let network = NETWORKS.fetch_add(1, atomic::Ordering::Relaxed);
+            let number = first.wrapping_add(network) % NETWORKS_COUNT;
+            let [_, _, high, low] = number.to_be_bytes();
+            let net = [high | 0x80, low];
+            let lock = net::Ipv4Addr::new(127, net[0], net[1], u8::MAX);
+            if let Ok(lock) = net::TcpListener::bind((lock, LOCK_PORT)) {
+                return Addresses {
+                    net,
+                    next: 0,
+                    _lock: lock,
+                };
+            }
         }
+        panic!("all {NETWORKS_COUNT} networks are in use");
     }
 
     /// Returns the middle bytes of every address.
@@ -38,7 +53,8 @@
         self.next = self
             .next
             .checked_add(1)
-            .expect("at most 255 addresses in a network");
+            .filter(|next| *next < u8::MAX)
+            .expect("at most 254 addresses in a network");
         net::Ipv4Addr::new(127, self.net[0], self.net[1], self.next)
     }
 
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -132,6 +132,8 @@
         let mut addresses = addresses::Addresses::reserve();
         let [high, low] = addresses.network();
         let folder = env::temp_dir().join(format!("nutmegdale-{}-{high}-{low}", process::id()));
+        // A failed run of a process with the same id may have left one behind.
+        drop(fs::remove_dir_all(&folder));
         fs::create_dir_all(&folder).expect("folder of the cluster can be created");
         let control_ips: Vec<_> = plan.control.iter().map(|_| addresses.next_ip()).collect();
         let entry_ips: Vec<_> = plan.entry.iter().map(|_| addresses.next_ip()).collect();
@@ -151,16 +153,7 @@
         let members = members.join(", ");
         for (n, (ip, place)) in control_ips.iter().zip(&plan.control).enumerate() {
             let name = format!("control-{n}");
-            let mut text = process_section(&name, "control", *place);
-            let data = cluster.folder.join(&name);
-            writeln!(
-                text,
-                "[control]\nlisten = {ip}:{CONTROL_PORT}\nadmin = {ip}:{ADMIN_PORT}"
-            )
-            .expect("string can be written");
-            writeln!(text, "data = {}\nmembers = {members}", data.display())
-                .expect("string can be written");
-            writeln!(text, "operators = tester:{OPERATOR_TOKEN}").expect("string can be written");
+            let text = cluster.control_settings(&name, *ip, *place, &members);
             let settings = cluster.write_settings(&name, &text);
             cluster.prepare(&settings);
             let daemon = cluster.start_daemon(&name, *ip, settings);
@@ -188,6 +181,37 @@
         cluster
     }
 
+    fn control_settings(
+        &self,
+        name: &str,
+        ip: net::Ipv4Addr,
+        place: Place,
+        members: &str,
+    ) -> String {
+        let mut text = process_section(name, "control", place);
+        let data = self.folder.join(name);
+        writeln!(
+            text,
+            "[control]\nlisten = {ip}:{CONTROL_PORT}\nadmin = {ip}:{ADMIN_PORT}"
+        )
+        .expect("string can be written");
+        writeln!(text, "data = {}\nmembers = {members}", data.display())
+            .expect("string can be written");
+        writeln!(text, "operators = tester:{OPERATOR_TOKEN}").expect("string can be written");
+        text
+    }
+
+    /// Starts another control process, which lists only itself and waits to be admitted.
+    pub fn add_control(&mut self, place: Place) {
+        let ip = self.addresses.next_ip();
+        let name = format!("control-{}", self.control.len());
+        let member = format!("{name}@{}={ip}:{CONTROL_PORT}", place.region);
+        let text = self.control_settings(&name, ip, place, &member);
+        let settings = self.write_settings(&name, &text);
+        let daemon = self.start_daemon(&name, ip, settings);
+        self.control.push(daemon);
+    }
+
     fn write_settings(&self, name: &str, text: &str) -> path::PathBuf {
         let settings = self.folder.join(format!("{name}.ini"));
         fs::write(&settings, text).expect("settings can be written");
