Ask for the token of an account that has one

Cause: a catalogue entry could hold token_sha256, and nothing checked it, so any caller could use the account by its name.

Change: nutmegdale-token is hashed and compared in constant time; it is removed before the request goes to a server.

--- a/crates/base/src/header.rs
+++ b/crates/base/src/header.rs
@@ -11,6 +11,8 @@
 pub const REQUEST_ID: &str = "nutmegdale-request-id";
 /// Client account of a request.
 pub const ACCOUNT: &str = "nutmegdale-account";
+/// Token of the client account, if the catalogue asks for one; it is not passed on to servers.
+pub const TOKEN: &str = "nutmegdale-token";
 /// Time left for a request, in milliseconds.
 pub const DEADLINE_MS: &str = "nutmegdale-deadline-ms";
 /// Key that identifies a one-time request across resends.
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -9,11 +9,17 @@
     region: "north",
 };
 
+/// SHA-256 of `token-of-the-clerk`.
+const CLERK_SHA256: &str = "eec1572c2c36c1323c3e429bb2f6f7d0e4b1abadeed6686a4f6d9b9bbfa37377";
+
 fn ops() -> serde_json::Value {
     serde_json::json!([
         { "op": "put-zone", "zone": { "name": "zone-a", "region": "north" } },
         { "op": "put-account",
           "account": { "name": "inspector", "owner": "Ann", "class": "urgent-lookup" } },
+        { "op": "put-account",
+          "account": { "name": "clerk", "owner": "Ann", "class": "urgent-lookup",
+                       "token_sha256": CLERK_SHA256 } },
         { "op": "put-route",
           "route": { "name": "reads", "owner": "Ann", "class": "urgent-lookup",
                      "path_prefix": "/logs", "service": "reads" } },
@@ -50,6 +56,19 @@
     }
     assert_eq!(server.shared.executions().len(), 2);
 
+    // An account with a token must be closed to callers without it.
+    let entry = cluster.entry[0].entry();
+    for (token, status) in [
+        ("", 403),
+        ("token-of-a-clerk", 403),
+        ("token-of-the-clerk", 200),
+    ] {
+        let headers = [("nutmegdale-account", "clerk"), ("nutmegdale-token", token)];
+        let req = http::Request::get("/logs/hall-7", &headers);
+        let answer = http::send(entry, &req).await.expect("answer");
+        assert_eq!(answer.status, status, "{token}: {}", answer.text());
+    }
+
     // The list is stated to be complete within seconds, since each entry process learns of the
     // others through its next sync.
     let req = http::Request::get("/.nutmegdale/addresses?route=reads", &[]);
--- a/crates/entry/src/check.rs
+++ b/crates/entry/src/check.rs
@@ -8,8 +8,10 @@
 use nutmegdale_admission::{deadline, limit};
 use nutmegdale_base::{class, clock, entity, outcome};
 use nutmegdale_routing::permit;
+use sha2::Digest;
 use std::sync;
 use std::sync::atomic;
+use subtle::ConstantTimeEq;
 
 /// Request that passed the checks of its head.
 #[derive(Debug, Clone, Copy)]
@@ -183,7 +185,7 @@
     }
 }
 
-/// Returns the account of a request if it may use the route.
+/// Returns the account of a request if it shows the account's token and may use the route.
 ///
 /// # Errors
 ///
@@ -197,6 +199,13 @@
     let name = headers.get(&head::ACCOUNT).and_then(|v| v.to_str().ok());
     let account = name.and_then(|name| view.find_account(name));
     let account = account.ok_or("the account is not known")?;
+    if let Some(digest) = &view.accounts[account].token_sha256 {
+        let token = headers.get(&head::TOKEN).map_or(&b""[..], |v| v.as_bytes());
+        let shown = sha2::Sha256::digest(token);
+        if !bool::from(shown.as_slice().ct_eq(digest)) {
+            return Err("the account's token is missing or wrong");
+        }
+    }
     let allowed = view.routes[route].accounts.as_ref();
     if allowed.is_none_or(|list| list.contains(&account)) {
         Ok(account)
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -8,6 +8,8 @@
 pub static REQUEST_ID: http::HeaderName = http::HeaderName::from_static(header::REQUEST_ID);
 /// Name of the account header.
 pub static ACCOUNT: http::HeaderName = http::HeaderName::from_static(header::ACCOUNT);
+/// Name of the header with the account's token.
+pub static TOKEN: http::HeaderName = http::HeaderName::from_static(header::TOKEN);
 /// Name of the outcome header.
 pub static OUTCOME: http::HeaderName = http::HeaderName::from_static(header::OUTCOME);
 /// Name of the catalogue version header.
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -149,6 +149,7 @@
 
     fn prepare(&self, req: &mut hyper::Request<listen::Body>, number: u64) {
         head::strip_hop_headers(req.headers_mut());
+        req.headers_mut().remove(&head::TOKEN);
         let id = head::request_id(self.boot, number);
         req.headers_mut().insert(&head::REQUEST_ID, id);
         head::use_origin_form(req);
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -99,8 +99,8 @@
     pub name: String,
     /// Highest priority.
     pub class: class::Class,
-    /// SHA-256 of the token in hexadecimal.
-    pub token_sha256: Option<String>,
+    /// SHA-256 of the token that callers of the account must show.
+    pub token_sha256: Option<[u8; 32]>,
     /// Regions that a request of the account may be in.
     pub regions: permit::RegionSet,
     /// Limits.
@@ -341,7 +341,7 @@
             let key = self.accounts.push(AccountView {
                 name: name.clone(),
                 class: account.class,
-                token_sha256: account.token_sha256.clone(),
+                token_sha256: account.token_sha256.as_deref().map(parse_digest),
                 regions: self.region_set(&account.home_regions),
                 limits: account.limits.clone(),
             });
@@ -440,3 +440,14 @@
             .map_or(0, |server| server.index() + 1)
     }
 }
+
+/// Reads 64 hexadecimal digits, which the catalogue's checks guarantee. Any other text gives a
+/// digest that no token has for practical purposes, so the account stays closed.
+fn parse_digest(text: &str) -> [u8; 32] {
+    let mut digest = [0; 32];
+    for (byte, pair) in digest.iter_mut().zip(text.as_bytes().chunks(2)) {
+        let pair = std::str::from_utf8(pair).unwrap_or("");
+        *byte = u8::from_str_radix(pair, 16).unwrap_or(0);
+    }
+    digest
+}
