--- /dev/null
+++ b/crates/daemon/tests/admission.rs
@@ -0,0 +1,232 @@
+//! Guards limits, deadlines and priorities over real processes: what is refused must be refused
+//! truthfully, and no request may run longer, more often or before others than it may.
+
+use nutmegdale_testkit::{cluster, http, standin};
+use std::time;
+use std::time::Duration;
+
+const PLACE: cluster::Place = cluster::Place {
+    zone: "zone-a",
+    region: "north",
+};
+
+fn ops() -> serde_json::Value {
+    serde_json::json!([
+        { "op": "put-zone", "zone": { "name": "zone-a", "region": "north" } },
+        { "op": "put-account",
+          "account": { "name": "inspector", "owner": "Ann", "class": "urgent-lookup" } },
+        { "op": "put-account",
+          "account": { "name": "archive", "owner": "Bob", "class": "bulk-export" } },
+        { "op": "put-account",
+          "account": { "name": "limited", "owner": "Ann", "class": "urgent-lookup",
+                       "limits": { "requests_per_second": 50, "body_bytes": 10 } } },
+        { "op": "put-route",
+          "route": { "name": "reads", "owner": "Ann", "class": "urgent-lookup",
+                     "path_prefix": "/logs", "service": "reads" } },
+    ])
+}
+
+async fn start(servers_count: usize) -> (cluster::Cluster, Vec<standin::StandIn>) {
+    let plan = cluster::Plan {
+        program: env!("CARGO_BIN_EXE_nutmegdale").into(),
+        control: vec![PLACE],
+        entry: vec![PLACE, PLACE, PLACE],
+    };
+    let mut cluster = cluster::Cluster::start(&plan);
+    cluster.apply("first", &ops()).await;
+    let mut servers = Vec::new();
+    for n in 0..servers_count {
+        let announced = cluster.announcement(&format!("reads-{n}"), "reads", "zone-a");
+        servers.push(cluster.standin(announced).await);
+    }
+    for entry in &cluster.entry {
+        let what = "every server in use at every entry process";
+        cluster::eventually(Duration::from_secs(10), what, || async {
+            for _ in 0..servers_count * 4 {
+                let answer = get(entry, "inspector", &[]).await;
+                if answer.status != 200 {
+                    return None;
+                }
+            }
+            let is_used = |server: &standin::StandIn| server.shared.executed.get() > 0;
+            servers.iter().all(is_used).then_some(())
+        })
+        .await;
+    }
+    (cluster, servers)
+}
+
+async fn get(entry: &cluster::Daemon, account: &str, more: &[(&str, &str)]) -> http::Answer {
+    let mut headers = vec![("nutmegdale-account", account)];
+    headers.extend(more);
+    let req = http::Request::get("/logs/1", &headers);
+    http::send(entry.entry(), &req).await.expect("an answer")
+}
+
+/// A limit holds for all entry processes together, and most of it is usable at the one that a
+/// caller keeps to.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn limit_holds_over_all_entries_and_follows_the_caller() {
+    let (cluster, _servers) = start(2).await;
+    let mut answered = [0; 6];
+    let begin = time::Instant::now();
+    for n in 0..1_200 {
+        tokio::time::sleep_until((begin + Duration::from_millis(5 * n)).into()).await;
+        let answer = get(&cluster.entry[0], "limited", &[]).await;
+        let second = (begin.elapsed().as_secs() as usize).min(5);
+        if answer.status == 200 {
+            answered[second] += 1;
+            continue;
+        }
+        assert_eq!(answer.status, 429, "{}", answer.text());
+        assert_eq!(answer.header("nutmegdale-outcome"), "not-run");
+        assert_eq!(answer.header("nutmegdale-reason"), "limit");
+        assert!(!answer.header("retry-after").is_empty());
+    }
+    let most = answered.iter().max().expect("six seconds");
+    assert!(*most <= 65, "the limit is 50 a second: {answered:?}");
+    let settled: u32 = answered[3..].iter().sum();
+    assert!(settled >= 3 * 35, "the limit is 50 a second: {answered:?}");
+    let headers = [("nutmegdale-account", "limited")];
+    let req = http::Request::post("/logs/1", &headers, "eleven byte");
+    let answer = http::send(cluster.entry[1].entry(), &req)
+        .await
+        .expect("an answer");
+    assert_eq!(
+        (answer.status, answer.header("nutmegdale-outcome")),
+        (429, "not-run")
+    );
+}
+
+/// A request must not outlast its deadline, at the entry process or at the server.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn deadline_travels_on_and_ends_the_request() {
+    let (cluster, servers) = start(2).await;
+    for server in &servers {
+        server
+            .shared
+            .set(|b| b.service_time = Duration::from_secs(3));
+    }
+    let begin = time::Instant::now();
+    let answer = get(
+        &cluster.entry[0],
+        "inspector",
+        &[("nutmegdale-deadline-ms", "250")],
+    )
+    .await;
+    let took = begin.elapsed();
+    assert_eq!(answer.status, 504, "{}", answer.text());
+    assert!(took < Duration::from_millis(1_000), "{took:?}");
+    cluster::eventually(Duration::from_secs(2), "no request at a server", || async {
+        let is_idle = |server: &standin::StandIn| server.shared.load().running == 0;
+        servers.iter().all(is_idle).then_some(())
+    })
+    .await;
+    for (value, status) in [("soon", 400), ("0", 504)] {
+        let answer = get(
+            &cluster.entry[0],
+            "inspector",
+            &[("nutmegdale-deadline-ms", value)],
+        )
+        .await;
+        let outcome = answer.header("nutmegdale-outcome");
+        assert_eq!((answer.status, outcome), (status, "not-run"), "{value}");
+    }
+}
+
+/// P6 and P7: a request that is no read is written to one server at most, whatever becomes of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_with_a_body_is_sent_once_and_its_refusal_is_true() {
+    let (cluster, servers) = start(3).await;
+    let executed = || -> u64 { servers.iter().map(|s| s.shared.executed.get()).sum() };
+    let headers = [("nutmegdale-account", "inspector")];
+    let req = http::Request::post("/logs/1", &headers, "x");
+    for server in &servers {
+        server.shared.set(|b| b.breaks = true);
+    }
+    for n in 0..20 {
+        let before = executed();
+        let sent = http::send(cluster.entry[n % 3].entry(), &req).await;
+        // The answer breaks off after its head, so the caller sees a broken connection.
+        assert!(sent.is_err() || sent.is_ok_and(|a| a.header("nutmegdale-outcome") == "unknown"));
+        assert_eq!(executed(), before + 1, "request {n}");
+    }
+    for server in &servers {
+        server.shared.set(|b| (b.breaks, b.sheds) = (false, true));
+    }
+    let before = executed();
+    for n in 0..20 {
+        let answer = http::send(cluster.entry[n % 3].entry(), &req)
+            .await
+            .expect("an answer");
+        assert_eq!(
+            answer.header("nutmegdale-outcome"),
+            "not-run",
+            "{}",
+            answer.text()
+        );
+    }
+    assert_eq!(
+        executed(),
+        before,
+        "a request that was called not run had run"
+    );
+}
+
+/// Bulk work never starves urgent work: a flood of bulk requests on the same servers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn flood_of_bulk_requests_leaves_urgent_reads_their_slots() {
+    let (cluster, servers) = start(4).await;
+    for server in &servers {
+        server
+            .shared
+            .set(|b| b.service_time = Duration::from_millis(50));
+    }
+    let entries: Vec<_> = cluster.entry.iter().map(cluster::Daemon::entry).collect();
+    let flood = |entry| async move {
+        let headers = [("nutmegdale-account", "archive")];
+        let req = http::Request::get("/logs/export", &headers);
+        let (mut answered, mut refused) = (0, 0);
+        let begin = time::Instant::now();
+        while begin.elapsed() < Duration::from_secs(4) {
+            match http::send(entry, &req).await.expect("an answer").status {
+                200 => answered += 1,
+                503 => refused += 1,
+                other => panic!("status {other}"),
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        (answered, refused)
+    };
+    let floods: Vec<_> = (0..60)
+        .map(|n| tokio::spawn(flood(entries[n % 3])))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut took = Vec::new();
+    for n in 0..150 {
+        let begin = time::Instant::now();
+        let answer = get(&cluster.entry[n % 3], "inspector", &[]).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        took.push(begin.elapsed());
+    }
+    took.sort();
+    let (p50, p95) = (took[75], took[142]);
+    assert!(
+        p95 < Duration::from_millis(150),
+        "p50 {p50:?}, p95 {p95:?} of reads of 50 ms"
+    );
+    let (mut answered, mut refused) = (0, 0);
+    for flood in floods {
+        let (a, r) = flood.await.expect("flood does not panic");
+        (answered, refused) = (answered + a, refused + r);
+    }
+    // A quarter of 16 slots over three entry processes: two at once each, or six.
+    assert!(
+        answered >= 100,
+        "bulk work must go on: {answered} answered, {refused} refused"
+    );
+    assert!(
+        answered <= 6 * 4_000 / 50,
+        "{answered} answered, {refused} refused"
+    );
+}
