Resume a follower whose hint lies below the part that matches

Cause: a hint skips the whole term of the conflicting entry, also what is known to match; the leader took such a hint for a late answer and dropped it, so the follower stayed behind until the next election.

--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -301,7 +301,7 @@
                 progress.round_acked = progress.round_acked.max(round);
                 if is_accepted {
                     progress.accept(index, current_round);
-                } else if index >= progress.matched
+                } else if (index >= progress.matched || round > progress.matched_round)
                     && !matches!(progress.mode, progress::Mode::Snapshot { .. })
                 {
                     progress.probe_from(index.next());
--- a/crates/consensus/tests/focused.rs
+++ b/crates/consensus/tests/focused.rs
@@ -230,6 +230,31 @@
     assert_eq!(leader.actions.confirmed_reads, [7]);
 }
 
+/// A follower's hint skips the whole term of its conflicting entry, also the part of that term that
+/// is known to match. A leader that drops such a hint as late never finds the place again.
+#[test]
+fn hint_below_the_matching_part_leads_back_to_its_end() {
+    let mut leader = Bench::new(recovered(&[(2, 2), (3, 2), (4, 2), (5, 2)]));
+    let term = leader.lead();
+    leader.acknowledged(2, term, 3, 1);
+    leader.now_ms += 30;
+    leader.step(input::Input::Tick);
+    let refused = types::Message::Appended {
+        is_accepted: false,
+        index: types::Index(1),
+        last_index: types::Index(9),
+        round: 2,
+    };
+    leader.receive(2, term, refused);
+    leader.step(input::Input::Tick);
+    let prev_of = |env: &types::Envelope| match env.message {
+        types::Message::Append { prev_index, .. } if env.to == net::id(2) => Some(prev_index.0),
+        _ => None,
+    };
+    let probes: Vec<u64> = leader.actions.messages.iter().filter_map(prev_of).collect();
+    assert_eq!(probes, [3]);
+}
+
 /// A round for each of many reads would cost more traffic between regions than control may use.
 #[test]
 fn many_reads_share_few_rounds() {
