--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -274,13 +274,13 @@
         let Some(progress) = lead.progress.get_mut(&env.from) else {
             return;
         };
-        let answered_round = match env.message {
-            types::Message::Appended { round, .. }
-            | types::Message::SnapshotReceived { round, .. } => round,
-            _ => return,
+        let (types::Message::Appended { round, .. }
+        | types::Message::SnapshotReceived { round, .. }) = env.message
+        else {
+            return;
         };
         // Only answers to messages of this leader's own term count.
-        if answered_round == 0 || answered_round > current_round {
+        if round == 0 || round > current_round {
             return;
         }
         match env.message {
