--- a/crates/entry/src/one_time/run.rs
+++ b/crates/entry/src/one_time/run.rs
@@ -234,8 +234,8 @@
         let snapshot = self.shared.published.load();
         let mut entries = snapshot.view.entries.values();
         let is_own = by.boot == self.claimant.boot;
-        let is_known = !self.shared.published.has_lease(now);
-        if is_own || is_known || entries.any(|e| e.name == by.entry && e.boot == by.boot) {
+        let is_list_stale = !self.shared.published.has_lease(now);
+        if is_own || is_list_stale || entries.any(|e| e.name == by.entry && e.boot == by.boot) {
             *missing_since = None;
             return false;
         }
