--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -21,9 +21,6 @@
 /// Time for the announcement of a shutdown to reach the other entry processes.
 const LEAVE_MS: clock::Millis = clock::Millis(500);
 
-/// Pace of the timer of [`keep_timer_near`]; not above the shortest wait before a hedge.
-const NEAR_TIMER_MS: u64 = 2;
-
 /// Time for readers of metrics to finish.
 const OBSERVE_DRAIN_MS: clock::Millis = clock::Millis(500);
 
@@ -83,7 +80,6 @@
         observed_rx,
         OBSERVE_DRAIN_MS,
     ));
-    let near_timer = tokio::spawn(keep_timer_near());
     // The sender lives as long as the process; an error means that it is ending.
     drop(stop.wait_for(|is_stopping| *is_stopping).await);
     shared.is_stopping.store(true, atomic::Ordering::Relaxed);
@@ -99,23 +95,10 @@
     // Metrics and the dump stay readable until the last request has ended.
     observed_tx.send_replace(true);
     drop(observing.await);
-    near_timer.abort();
     slog::info!(log, "entry role stopped"; "all_requests_ended" => is_drained && is_recorded);
     Ok(())
 }
 
-/// Keeps a timer of the runtime near at all times.
-///
-/// A timer that is earlier than all others makes the runtime wake the thread that waits for events,
-/// by a system call. Without a near timer, the hedge and the deadline of each request did that.
-async fn keep_timer_near() {
-    let mut ticks = tokio::time::interval(time::Duration::from_millis(NEAR_TIMER_MS));
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-    }
-}
-
 fn empty_snapshot(process: &model::Process) -> snapshot::Snapshot {
     let place = view::Place {
         zone: &process.zone,
