Let no caller with an old address list see a broken connection

A connection that was accepted, or waited to be accepted, when the listener ended was broken off before its request was read, so its caller could not tell whether it ran. New connections now get 250 ms for their first request, and the listener accepts what waits before it closes.

--- a/crates/rpc/src/listen.rs
+++ b/crates/rpc/src/listen.rs
@@ -80,6 +80,9 @@
     bound.map_err(|err| std::io::Error::new(err.kind(), format!("listen at {address}: {err}")))
 }
 
+/// Connections accepted after the end was asked for, so that a hostile client cannot delay it.
+const LATE_MAX_COUNT: u32 = 1_024;
+
 /// Serves a listener until `stop` turns true, then lets every request end within `drain`.
 ///
 /// Returns whether every request ended in time. Connections over the bound wait in the backlog.
@@ -92,8 +95,12 @@
 ) -> bool {
     let builder = builder(&bounds);
     let permits = sync::Arc::new(tokio::sync::Semaphore::new(bounds.connections_max_count));
-    loop {
+    let mut late_count = 0;
+    while late_count < LATE_MAX_COUNT {
+        late_count += u32::from(*stop.borrow());
+        // Accepting comes first: connections that wait when the listener ends would be broken off.
         let accepted = tokio::select! {
+            biased;
             accepted = accept(&listener, &permits) => accepted,
             _ = stop.wait_for(|is_stopping| *is_stopping) => break,
         };
--- a/crates/rpc/src/listen/activity.rs
+++ b/crates/rpc/src/listen/activity.rs
@@ -64,6 +64,11 @@
         self.open.load(atomic::Ordering::Relaxed) == 0
     }
 
+    /// Returns whether no request has come yet.
+    pub(super) fn is_new(&self) -> bool {
+        self.begun.load(atomic::Ordering::Relaxed) == 0
+    }
+
     fn seen(&self) -> Seen {
         Seen {
             begun: self.begun.load(atomic::Ordering::Relaxed),
@@ -79,8 +84,7 @@
             }
             return State::Answering;
         }
-        let is_first = self.begun.load(atomic::Ordering::Relaxed) == 0;
-        if is_first || self.has_partial.load(atomic::Ordering::Relaxed) {
+        if self.is_new() || self.has_partial.load(atomic::Ordering::Relaxed) {
             return State::ReadingHead;
         }
         State::Idle
--- a/crates/rpc/src/listen/connection.rs
+++ b/crates/rpc/src/listen/connection.rs
@@ -13,6 +13,9 @@
 use std::time;
 use tokio::sync::watch;
 
+/// Time for a client that has just connected to send its request when the listener ends.
+const LAST_HEAD: time::Duration = time::Duration::from_millis(250);
+
 /// Serves one connection until it ends, is idle for too long, or is idle after `stop` turned true.
 pub(super) async fn serve(
     builder: conn::auto::Builder<rt::TokioExecutor>,
@@ -43,12 +46,18 @@
     ticks.reset();
     let mut judge = activity::Judge::new(patience(&bounds), &activity);
     let mut is_ending = false;
+    let mut ends_at_tick = false;
     loop {
         tokio::select! {
             biased;
             // A broken connection is the client's to notice; requests log their own outcome.
             _ = conn.as_mut() => return,
             _ = ticks.tick() => {
+                if ends_at_tick {
+                    ends_at_tick = false;
+                    conn.as_mut().graceful_shutdown();
+                    continue;
+                }
                 if judge.tick(&activity, span) {
                     if is_ending || !activity.is_idle() {
                         return;
@@ -60,7 +69,13 @@
             }
             _ = stop.wait_for(|is_stopping| *is_stopping), if !is_ending => {
                 is_ending = true;
-                conn.as_mut().graceful_shutdown();
+                // A request may be on its way; closed now, its caller could not tell whether it ran.
+                if activity.is_new() {
+                    ends_at_tick = true;
+                    ticks.reset_after(LAST_HEAD);
+                } else {
+                    conn.as_mut().graceful_shutdown();
+                }
             }
         }
     }
