Put layers around the operators' service and show metrics of control processes

Cause: the operators' listener had no bound on requests at once or on the time of an answer, control processes had no metrics, and answers other than those to one-time requests did not carry the request id that logs and servers have.

Change: tower's load shedding, concurrency limit and timeout go around the operators' service; the path of callers' requests keeps its own limits in atomics, since the layers would cost a boxed service per request. GET /metrics and /healthz on the admin address need an operator's token. Every answer carries nutmegdale-request-id.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -1,10 +1,10 @@
 //! HTTP front of the administration API: authenticates operators and passes requests on.
 
-use crate::api;
+use crate::{api, observe};
 use http_body_util::BodyExt;
 use hyper::body;
 use nutmegdale_base::clock;
-use nutmegdale_rpc::{client, listen, message};
+use nutmegdale_rpc::{client, layered, listen, message};
 use nutmegdale_settings::model;
 use sha2::Digest;
 use std::net;
@@ -26,6 +26,7 @@
     operators: Vec<(String, Token)>,
     api: sync::Arc<api::Api>,
     client: client::Client,
+    observe: observe::Observe,
 }
 
 /// SHA-256 of a token. Digests have one length, so the time of a comparison does not even tell the
@@ -42,6 +43,7 @@
         process: &model::Process,
         control: &model::Control,
         api: sync::Arc<api::Api>,
+        observe: observe::Observe,
     ) -> Admin {
         let operators = control.operators.iter();
         let shared = Shared {
@@ -50,6 +52,7 @@
                 .collect(),
             api,
             client: client::Client::new(&process.cluster_token),
+            observe,
         };
         Admin {
             shared: sync::Arc::new(shared),
@@ -64,7 +67,16 @@
         _client: net::SocketAddr,
     ) -> listen::Answer {
         let shared = sync::Arc::clone(&self.shared);
-        Box::pin(async move { http(shared.answer(req).await) })
+        let is_metrics = req.uri().path() == "/metrics";
+        Box::pin(async move {
+            let mut answer = http(shared.answer(req).await);
+            if is_metrics && answer.status().is_success() {
+                let kind = hyper::header::HeaderValue::from_static("text/plain; version=0.0.4");
+                let headers = answer.headers_mut();
+                headers.insert(hyper::header::CONTENT_TYPE, kind);
+            }
+            answer
+        })
     }
 }
 
@@ -73,6 +85,11 @@
         let Some(operator) = self.authenticate(&req) else {
             return api::error(401, "a valid operator token is required");
         };
+        match (req.method().as_str(), req.uri().path()) {
+            ("GET", "/metrics") => return self.observe.metrics(),
+            ("GET", "/healthz") => return self.observe.health(),
+            _ => {}
+        }
         let (operator, method) = (operator.to_owned(), req.method().to_string());
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or("").to_owned();
@@ -120,6 +137,20 @@
     }
 }
 
+/// Bounds of the service: operators are few, and a flood must not take memory from the groups.
+pub const LIMITS: layered::Limits = layered::Limits {
+    requests_max_count: 64,
+    answer_ms: clock::Millis(30_000),
+};
+
+/// Answers a request that the bounds refuse.
+pub fn refuse(refusal: layered::Refusal) -> hyper::Response<listen::Body> {
+    http(match refusal {
+        layered::Refusal::Busy => api::error(503, "too many requests of operators at once"),
+        layered::Refusal::Slow => api::error(503, api::RESEND),
+    })
+}
+
 fn http(reply: message::AdminReply) -> hyper::Response<listen::Body> {
     let status = hyper::StatusCode::from_u16(reply.status);
     let mut response = hyper::Response::new(listen::full(reply.body));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod leader;
 pub mod ledger;
 mod members;
+pub mod observe;
 pub mod peers;
 pub mod replicas;
 pub mod service;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,9 +1,9 @@
 //! The control role of a process.
 
-use crate::{admin, api, catalogue, groups, hub, ledger, replicas};
+use crate::{admin, api, catalogue, groups, hub, ledger, observe, replicas};
 use bytes::Bytes;
 use nutmegdale_base::clock;
-use nutmegdale_rpc::{client, listen, message, server};
+use nutmegdale_rpc::{client, layered, listen, message, server};
 use nutmegdale_settings::model;
 use std::io;
 use std::sync;
@@ -41,6 +41,11 @@
         sync::Arc::clone(&published),
     ));
     let (for_api, api_log) = (sync::Arc::clone(&hub), log.clone());
+    let observe = observe::Observe::new(
+        process,
+        sync::Arc::clone(&host),
+        sync::Arc::clone(&published),
+    );
     let replicas = replicas::Replicas::new(sync::Arc::clone(&host), process, control);
     let api = api::Api::new(&process.name, group, published, for_api, replicas, api_log);
     let api = sync::Arc::new(api);
@@ -52,7 +57,9 @@
         client: sync::Arc::new(client::Client::new(&process.cluster_token)),
     });
     let peers = sync::Arc::new(server::CallService::new(&process.cluster_token, calls));
-    let operators = sync::Arc::new(admin::Admin::new(process, control, api));
+    let operators = sync::Arc::new(admin::Admin::new(process, control, api, observe));
+    let operators = layered::Layered::new(operators, admin::LIMITS, admin::refuse);
+    let operators = sync::Arc::new(operators);
     let peer_listener = listen::bind(control.listen).await?;
     let admin_listener = listen::bind(control.admin).await?;
     slog::info!(log, "control role started"; "listen" => %control.listen, "admin" => %control.admin);
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -56,6 +56,28 @@
     }
     assert_eq!(server.shared.executions().len(), 2);
 
+    // The caller must be able to name a request by the id that the server and the logs have.
+    let answer = http::send(cluster.entry[0].entry(), &req)
+        .await
+        .expect("answer");
+    let executions = server.shared.executions();
+    let last = executions.last().expect("execution");
+    assert!(!last.request_id.is_empty());
+    assert_eq!(answer.header("nutmegdale-request-id"), last.request_id);
+
+    // Monitoring must see which replica leads and what it has applied.
+    let metrics = cluster.admin("GET", "/metrics", "").await.text();
+    assert!(
+        metrics.contains("nutmegdale_replica_leads{group=\"catalogue\"} 1"),
+        "{metrics}"
+    );
+    assert!(
+        metrics.contains("nutmegdale_catalogue_version{group=\"catalogue\"} 1"),
+        "{metrics}"
+    );
+    let health = cluster.admin("GET", "/healthz", "").await;
+    assert_eq!(health.status, 200, "{}", health.text());
+
     // An account with a token must be closed to callers without it.
     let entry = cluster.entry[0].entry();
     for (token, status) in [
--- a/crates/entry/src/observe.rs
+++ b/crates/entry/src/observe.rs
@@ -1,11 +1,11 @@
 //! What an entry process shows of itself: metrics, a dump of its state, and whether it gives work.
 
 use crate::check;
-use crate::head;
 use crate::proxy;
 use crate::response;
 use crate::snapshot;
 use hyper::body;
+use hyper::header as http;
 use nutmegdale_base::outcome;
 use nutmegdale_rpc::listen;
 use nutmegdale_telemetry::{failures, metrics};
@@ -52,7 +52,7 @@
     pub(crate) fn count_failure(
         &self,
         started: time::Instant,
-        number: u64,
+        id: &http::HeaderValue,
         snapshot: &snapshot::Snapshot,
         checked: Option<&check::Checked>,
         outcome: outcome::Outcome,
@@ -60,7 +60,6 @@
         let took = started.elapsed();
         let class = checked.map(|checked| checked.priority);
         self.requests.count(class, outcome, took);
-        let id = head::request_id(self.boot, number);
         let route = checked.map(|checked| snapshot.view.routes[checked.route].name.as_str());
         let failure = failures::Failure {
             request_id: id.to_str().unwrap_or(""),
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body;
 use hyper::body::Body;
+use hyper::header as http;
 use nutmegdale_admission::{bulk, measuring};
 use nutmegdale_base::{class, clock, header, outcome};
 use nutmegdale_choice::policy;
@@ -83,12 +84,24 @@
 }
 
 impl Shared {
+    /// Answers a request; the id on the answer is the one in logs and at the server.
     async fn answer(
         self: &sync::Arc<Self>,
         req: hyper::Request<body::Incoming>,
     ) -> hyper::Response<listen::Body> {
-        let started = time::Instant::now();
         let number = self.next_request.fetch_add(1, atomic::Ordering::Relaxed);
+        let id = head::request_id(self.boot, number);
+        let mut answer = self.decide(req, &id).await;
+        answer.headers_mut().insert(&head::REQUEST_ID, id);
+        answer
+    }
+
+    async fn decide(
+        self: &sync::Arc<Self>,
+        req: hyper::Request<body::Incoming>,
+        id: &http::HeaderValue,
+    ) -> hyper::Response<listen::Body> {
+        let started = time::Instant::now();
         let snapshot = self.published.load();
         let version = snapshot.view.version;
         let body_bytes = req.body().size_hint().exact();
@@ -100,13 +113,13 @@
             Ok(admitted) => admitted,
             Err(refused) => {
                 let outcome = outcome::Outcome::NotRun(refused.reason);
-                self.count_failure(started, number, &snapshot, None, outcome);
+                self.count_failure(started, id, &snapshot, None, outcome);
                 return refused.answer(&snapshot);
             }
         };
         let limit = check::body_limit(&snapshot, &checked);
         let mut req = req.map(|incoming| limited(incoming, body_bytes, limit));
-        self.prepare(&mut req, number);
+        self.prepare(&mut req, id);
         if checked.class == class::Class::OneTimeFiling {
             let view = sync::Arc::clone(&snapshot);
             let (answer, outcome) = one_time::answer(self, snapshot, checked, req).await;
@@ -114,7 +127,7 @@
                 self.requests
                     .count(Some(checked.priority), outcome, started.elapsed());
             } else {
-                self.count_failure(started, number, &view, Some(&checked), outcome);
+                self.count_failure(started, id, &view, Some(&checked), outcome);
             }
             return answer.map(|inner| self.metered(inner, admitted, false));
         }
@@ -129,7 +142,7 @@
                 answer.map(|inner| self.metered(inner, admitted, is_far))
             }
             Err(outcome) => {
-                self.count_failure(started, number, &snapshot, Some(&checked), outcome);
+                self.count_failure(started, id, &snapshot, Some(&checked), outcome);
                 response::refusal(outcome, version, "")
             }
         }
@@ -147,11 +160,10 @@
         listen::Body::new(meter::Metered::new(inner, admitted, clock, link))
     }
 
-    fn prepare(&self, req: &mut hyper::Request<listen::Body>, number: u64) {
+    fn prepare(&self, req: &mut hyper::Request<listen::Body>, id: &http::HeaderValue) {
         head::strip_hop_headers(req.headers_mut());
         req.headers_mut().remove(&head::TOKEN);
-        let id = head::request_id(self.boot, number);
-        req.headers_mut().insert(&head::REQUEST_ID, id);
+        req.headers_mut().insert(&head::REQUEST_ID, id.clone());
         head::use_origin_form(req);
         *req.version_mut() = hyper::Version::HTTP_11;
     }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod client;
 pub mod error;
+pub mod layered;
 pub mod ledger;
 pub mod listen;
 pub mod message;
