Show the cost of measuring as metrics, links between regions apart

Cause: the budget counted what syncs cost, but no metric showed it, and every sync counted as one between regions, which have the smaller part of the budget, since the settings name no region of a control process.

Change: the regions come from the list of control processes that the leader sends; the counters are on /metrics of each entry process.

Measured: crates/daemon/tests/whole_path.rs waits for nutmegdale_measuring_region_bytes_total above zero on an entry process in the region of its control process.

--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -78,6 +78,21 @@
     let health = cluster.admin("GET", "/healthz", "").await;
     assert_eq!(health.status, 200, "{}", health.text());
 
+    // P1: the cost of measuring must be visible, links between regions apart.
+    let req_metrics = http::Request::get("/metrics", &[]);
+    let observe = cluster.entry[0].observe();
+    cluster::eventually(time::Duration::from_secs(6), "bytes of syncs", || async {
+        let text = http::send(observe, &req_metrics).await.ok()?.text();
+        let value = |name: &str| -> Option<u64> {
+            let line = text.lines().find(|line| line.starts_with(name))?;
+            line.rsplit(' ').next()?.parse().ok()
+        };
+        let near = value("nutmegdale_measuring_region_bytes_total ")?;
+        value("nutmegdale_measuring_cross_region_bytes_total ")?;
+        (near > 0).then_some(())
+    })
+    .await;
+
     // An account with a token must be closed to callers without it.
     let entry = cluster.entry[0].entry();
     for (token, status) in [
--- a/crates/entry/src/observe.rs
+++ b/crates/entry/src/observe.rs
@@ -6,13 +6,14 @@
 use crate::snapshot;
 use hyper::body;
 use hyper::header as http;
+use nutmegdale_admission::measuring;
 use nutmegdale_base::outcome;
 use nutmegdale_rpc::listen;
 use nutmegdale_telemetry::{failures, metrics};
 use serde_json::json;
 use std::net;
 use std::sync;
-use std::sync::atomic;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time;
 
 /// Service of the `observe` address.
@@ -75,7 +76,7 @@
 
     /// Returns the reason why no new work is given, if there is one.
     fn closed_reason(&self, snapshot: &snapshot::Snapshot) -> Option<outcome::Reason> {
-        if self.is_stopping.load(atomic::Ordering::Relaxed) {
+        if self.is_stopping.load(Relaxed) {
             return Some(outcome::Reason::ShuttingDown);
         }
         if !self.published.has_lease(self.clock.now()) {
@@ -100,10 +101,25 @@
     fn metrics(&self) -> hyper::Response<listen::Body> {
         let snapshot = self.published.load();
         let live = || snapshot.live.values();
-        let gauge = |name, help, value| metrics::Gauge { name, help, value };
+        let gauge = |name, help, value| metrics::Sample {
+            name,
+            help,
+            kind: metrics::Kind::Gauge,
+            value,
+        };
+        let counter = |name, help, value| metrics::Sample {
+            name,
+            help,
+            kind: metrics::Kind::Counter,
+            value,
+        };
+        let near = self.measuring.spent(measuring::Reach::Region);
+        let far = self.measuring.spent(measuring::Reach::CrossRegion);
+        let second_sends = snapshot.services.values();
+        let second_sends = second_sends.map(|s| s.second_sends_count.load(Relaxed));
         let in_flight = live().map(|part| u64::from(part.signal.in_flight()));
         let open = live().map(|part| u64::from(part.pool.open_count()));
-        let gauges = [
+        let samples = [
             gauge(
                 "nutmegdale_catalogue_version",
                 "Version of the catalogue that decides requests.",
@@ -129,8 +145,39 @@
                 "Open connections to servers.",
                 open.sum(),
             ),
+            // A service that is no longer announced takes its count away, so this can fall.
+            gauge(
+                "nutmegdale_second_sends",
+                "Retries and hedges of the announced services.",
+                second_sends.sum(),
+            ),
+            counter(
+                "nutmegdale_measuring_region_bytes_total",
+                "Bytes of syncs within the region.",
+                near.bytes,
+            ),
+            counter(
+                "nutmegdale_measuring_cross_region_bytes_total",
+                "Bytes of syncs to other regions.",
+                far.bytes,
+            ),
+            counter(
+                "nutmegdale_measuring_region_messages_total",
+                "Syncs within the region.",
+                near.messages_count,
+            ),
+            counter(
+                "nutmegdale_measuring_cross_region_messages_total",
+                "Syncs to other regions.",
+                far.messages_count,
+            ),
+            counter(
+                "nutmegdale_measuring_held_back_total",
+                "Times that the measuring budget held a sync back.",
+                near.held_back_count + far.held_back_count,
+            ),
         ];
-        let text = self.requests.text(&gauges);
+        let text = self.requests.text(&samples);
         let mut answer = hyper::Response::new(listen::full(text));
         let kind = hyper::header::HeaderValue::from_static("text/plain; version=0.0.4");
         let headers = answer.headers_mut();
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -52,6 +52,8 @@
     audit: audit::Audit,
     asks: asks::Asks,
     peers: peers::Peers,
+    /// Addresses of the control processes in the own region, as the leader named them.
+    near: Vec<net::SocketAddr>,
 }
 
 impl Syncer {
@@ -73,6 +75,7 @@
             audit: audit::Audit::new(),
             asks: asks::Asks::new(),
             peers: peers::Peers::new(&entry.control),
+            near: Vec::new(),
         }
     }
 
@@ -150,6 +153,9 @@
         match reply {
             Ok((sent, message::SyncReply::Confirmed(mut confirmed))) => {
                 if let Some(control) = confirmed.control.take() {
+                    let is_near = |m: &&message::ControlMember| m.region == self.process.region;
+                    let near = control.members.iter().filter(is_near);
+                    self.near = near.map(|member| member.address).collect();
                     self.shared.one_time.set_control(control);
                 }
                 if confirmed.wants_all {
@@ -178,8 +184,11 @@
         peer: net::SocketAddr,
         req: &message::SyncRequest,
     ) -> error::Result<(clock::Millis, message::SyncReply)> {
-        // The settings name no region of a control process, so the paid link is assumed.
-        let reach = measuring::Reach::CrossRegion;
+        // Until the first answer names the regions, the paid link is assumed.
+        let reach = match self.near.contains(&peer) {
+            true => measuring::Reach::Region,
+            false => measuring::Reach::CrossRegion,
+        };
         let body = client::Client::encode(req)?;
         self.reserve(reach, body.len() as u64 + HEAD_BYTES).await;
         let sent = self.shared.clock.now();
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -94,13 +94,13 @@
     }
 
     /// Returns the metrics in the text format, with `gauges` of the state at this moment.
-    pub fn text(&self, gauges: &[Gauge]) -> String {
+    pub fn text(&self, samples: &[Sample]) -> String {
         let mut buf = Vec::new();
         let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
         encoded.expect("metrics can be written to memory");
         let mut text = String::from_utf8(buf).expect("the text format is UTF-8");
-        for gauge in gauges {
-            gauge.write(&mut text);
+        for sample in samples {
+            sample.write(&mut text);
         }
         text
     }
@@ -112,24 +112,41 @@
     }
 }
 
+/// Kind of a [`Sample`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Value that rises and falls.
+    Gauge,
+    /// Value that only grows while the process runs; its name ends in `_total`.
+    Counter,
+}
+
 /// Value that is read when metrics are asked for.
 #[derive(Debug, Clone, Copy)]
-pub struct Gauge {
+pub struct Sample {
     /// Name.
     pub name: &'static str,
     /// Explanation.
     pub help: &'static str,
+    /// Kind.
+    pub kind: Kind,
     /// Value.
     pub value: u64,
 }
 
-impl Gauge {
+impl Sample {
     fn write(&self, text: &mut String) {
         use std::fmt::Write;
-        let Gauge { name, help, value } = self;
+        let Sample {
+            name, help, value, ..
+        } = self;
+        let kind = match self.kind {
+            Kind::Gauge => "gauge",
+            Kind::Counter => "counter",
+        };
         writeln!(
             text,
-            "# HELP {name} {help}\n# TYPE {name} gauge\n{name} {value}"
+            "# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {value}"
         )
         .expect("string can be written");
     }
--- a/crates/telemetry/tests/surface.rs
+++ b/crates/telemetry/tests/surface.rs
@@ -15,12 +15,13 @@
 #[test]
 fn series_are_complete_from_the_start_and_count() {
     let requests = metrics::Requests::new();
-    let gauges = [metrics::Gauge {
+    let samples = [metrics::Sample {
         name: "nutmegdale_version",
         help: "Version.",
+        kind: metrics::Kind::Gauge,
         value: 7,
     }];
-    let before = requests.text(&gauges).lines().count();
+    let before = requests.text(&samples).lines().count();
     let took = time::Duration::from_millis(3);
     let overload = outcome::Outcome::NotRun(outcome::Reason::Overload);
     requests.count(Some(class::Class::BulkExport), overload, took);
@@ -29,7 +30,7 @@
         outcome::Outcome::NotRun(outcome::Reason::NoRoute),
         took,
     );
-    let text = requests.text(&gauges);
+    let text = requests.text(&samples);
     assert_eq!(text.lines().count(), before);
     for line in [
         "nutmegdale_requests_total{class=\"bulk-export\",outcome=\"not-run\",reason=\"overload\"} 1",
