--- a/crates/daemon/examples/measure_control.rs
+++ b/crates/daemon/examples/measure_control.rs
@@ -15,12 +15,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Servers of the target scale.
-const SERVERS_COUNT: usize = 890;
 /// Services of the target scale.
 const SERVICES_COUNT: usize = 140;
-/// Entry processes of the deployments.
-const ENTRIES_COUNT: usize = 18;
 /// Changes of one measurement of the time until they are in force.
 const CHANGES_COUNT: usize = 60;
 /// Time over which a process at rest is watched.
@@ -33,6 +29,22 @@
     region: "north",
 };
 
+/// Measures the distribution of the catalogue and what idle processes cost.
+#[derive(Debug, argh::FromArgs)]
+struct Args {
+    /// announced servers (890)
+    #[argh(option, default = "890")]
+    servers: usize,
+
+    /// entry processes (18)
+    #[argh(option, default = "18")]
+    entries: usize,
+
+    /// measure only what idle processes cost
+    #[argh(switch)]
+    idle_only: bool,
+}
+
 /// Relay that counts the bytes of both directions.
 #[derive(Debug, Default)]
 struct Counter {
@@ -236,10 +248,10 @@
     counter
 }
 
-async fn announce_all(cluster: &mut cluster::Cluster) -> sync::Arc<Counter> {
+async fn announce_all(cluster: &mut cluster::Cluster, servers: usize) -> sync::Arc<Counter> {
     let address = cluster.standin_address();
     let counter = relay(address, cluster.entry[0].entry()).await;
-    for n in 0..SERVERS_COUNT {
+    for n in 0..servers {
         let at = n % cluster.entry.len();
         let to = if at == 0 {
             address
@@ -255,38 +267,46 @@
     counter
 }
 
-async fn is_listed(cluster: &cluster::Cluster) -> Option<()> {
+async fn is_listed(cluster: &cluster::Cluster, args: &Args) -> Option<()> {
     let status = cluster.admin("GET", "/admin/v1/status", "").await;
     let status = status.json().expect("JSON");
-    let is_all = status["servers"]["zone-a"]["warm"] == SERVERS_COUNT
-        && status["in_force"]["on"] == ENTRIES_COUNT
+    let is_all = status["servers"]["zone-a"]["warm"] == args.servers
+        && status["in_force"]["on"] == args.entries
         && status["is_complete"] == true;
     is_all.then_some(())
 }
 
-#[tokio::main]
-async fn main() {
+async fn measure_small() {
     let small = start(3);
     first_catalogue(&small).await;
     tokio::time::sleep(time::Duration::from_secs(2)).await;
     measure_in_force(&small, time::Duration::from_millis(150), "single").await;
-    drop(small);
+}
 
-    let mut cluster = start(ENTRIES_COUNT);
+#[tokio::main]
+async fn main() {
+    let args: Args = argh::from_env();
+    if !args.idle_only {
+        measure_small().await;
+    }
+    let mut cluster = start(args.entries);
     first_catalogue(&cluster).await;
     let leader = cluster.leader().await;
     let syncs = through_relay(&mut cluster, leader).await;
     tokio::time::sleep(time::Duration::from_secs(2)).await;
-    let announcements = announce_all(&mut cluster).await;
+    let announcements = announce_all(&mut cluster, args.servers).await;
     let limit = time::Duration::from_secs(60);
-    cluster::eventually(limit, "every server", || is_listed(&cluster)).await;
+    cluster::eventually(limit, "every server", || is_listed(&cluster, &args)).await;
     tokio::time::sleep(time::Duration::from_secs(5)).await;
-    println!("{SERVERS_COUNT} servers, {ENTRIES_COUNT} entry processes");
+    println!("{} servers, {} entry processes", args.servers, args.entries);
     let (first, follower) = (&cluster.control[leader], &cluster.control[(leader + 1) % 3]);
     watch("leader, syncs", first, &[&*syncs]).await;
     watch("follower, no bytes counted", follower, &[]).await;
     let entry = &cluster.entry[0];
     watch("entry process, announcements", entry, &[&*announcements]).await;
+    if args.idle_only {
+        return;
+    }
     measure_in_force(&cluster, time::Duration::from_millis(150), "single").await;
     measure_in_force(&cluster, time::Duration::ZERO, "burst").await;
     watch("leader after the changes, syncs", first, &[&*syncs]).await;
