--- a/crates/rpc/tests/listen.rs
+++ b/crates/rpc/tests/listen.rs
@@ -227,9 +227,11 @@
         if sender.ready().await.is_err() {
             break;
         }
-        // Dropping the future resets the stream.
-        drop(sender.send_request(get("/slow")));
+        // Dropping the future resets the stream. The yield lets the connection's task open it
+        // first; a request that is given up before is never sent.
+        let sent = sender.send_request(get("/slow"));
         tokio::task::yield_now().await;
+        drop(sent);
     }
     let (answer, _) = exchange(
         &listener,
