--- a/crates/consensus/src/input.rs
+++ b/crates/consensus/src/input.rs
@@ -17,7 +17,7 @@
     /// Change of the members.
     Change(MemberChange),
     /// First members of a new group, for a replica that holds nothing yet.
-    Found {
+    Bootstrap {
         /// The members.
         set: &'a types::MemberSet,
         /// Whether all others know the members already, so that an election need not wait.
@@ -25,7 +25,7 @@
     },
     /// Snapshot that the driver made durable, so that the entries it covers may be dropped.
     Compact(types::Snapshot),
-    /// Hands the lead to the follower that holds most, before a graceful stop.
+    /// Transfers leadership to the follower that holds most, before a graceful stop.
     Transfer,
 }
 
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -111,7 +111,7 @@
             input::Input::Propose(cmd) => self.propose(cmd, actions),
             input::Input::Read(number) => self.read(number),
             input::Input::Change(change) => self.change(change, actions),
-            input::Input::Found { set, is_last } => self.found(set, is_last, actions),
+            input::Input::Bootstrap { set, is_last } => self.bootstrap(set, is_last, actions),
             input::Input::Compact(snapshot) => {
                 self.compact(snapshot);
                 input::Answer::Done
@@ -138,7 +138,7 @@
         }
     }
 
-    fn found(
+    fn bootstrap(
         &mut self,
         set: &types::MemberSet,
         is_last: bool,
--- a/crates/consensus/tests/net/mod.rs
+++ b/crates/consensus/tests/net/mod.rs
@@ -123,7 +123,7 @@
         }
         for number in 1..=count {
             net.add(number);
-            let found = input::Input::Found {
+            let found = input::Input::Bootstrap {
                 set: &set,
                 is_last: false,
             };
--- a/crates/control/src/founding.rs
+++ b/crates/control/src/bootstrap.rs
@@ -2,8 +2,8 @@
 //!
 //! The first process that the settings list asks all listed ones who they are. Only if all of them
 //! answer, were prepared by an operator, list the same processes and belong to no group (or to
-//! exactly the group to be founded), it tells all of them the members. A process that lost its disk
-//! has a new identity and was not prepared, so it neither founds a group nor lets one be founded.
+//! exactly the group to be bootstrapped), it tells all of them the members. A process that lost its disk
+//! has a new identity and was not prepared, so it neither bootstraps a group nor lets one be bootstrapped.
 
 use crate::groups;
 use nutmegdale_consensus::{input, status, types};
@@ -28,15 +28,15 @@
     format!("{name}@{region}={address}")
 }
 
-/// Why an attempt did not found the group.
+/// Why an attempt did not bootstrap the group.
 enum Fault {
     /// Others are not ready yet.
     Wait(String),
-    /// The group exists already, or can never be founded like this.
+    /// The group exists already, or can never be bootstrapped like this.
     Final(String),
 }
 
-/// Founds the group in the background, if that falls to this process.
+/// Bootstraps the group in the background, if that falls to this process.
 pub(crate) fn begin(
     host: &sync::Arc<groups::Host>,
     name: &str,
@@ -57,17 +57,17 @@
     {
         return;
     }
-    let founding = Founding {
+    let bootstrap = Bootstrap {
         host: sync::Arc::clone(host),
         name: name.to_owned(),
         others: members[1..].iter().map(|m| m.address).collect(),
         listed: members.iter().map(listed).collect(),
         handle: started.handle.clone(),
     };
-    tokio::spawn(founding.run());
+    tokio::spawn(bootstrap.run());
 }
 
-struct Founding {
+struct Bootstrap {
     host: sync::Arc<groups::Host>,
     name: String,
     others: Vec<net::SocketAddr>,
@@ -75,22 +75,22 @@
     handle: handle::Handle,
 }
 
-impl Founding {
+impl Bootstrap {
     async fn run(self) {
         let mut attempts = 0;
         while self.handle.status().role == status::Role::Blank {
             match self.attempt().await {
                 Ok(()) => {
-                    slog::info!(self.host.log(), "group founded"; "group" => &self.name);
+                    slog::info!(self.host.log(), "group bootstrapped"; "group" => &self.name);
                     return;
                 }
                 Err(Fault::Final(text)) => {
-                    slog::error!(self.host.log(), "group is not founded"; "group" => &self.name,
+                    slog::error!(self.host.log(), "group is not bootstrapped"; "group" => &self.name,
                         "error" => text);
                     return;
                 }
                 Err(Fault::Wait(text)) if attempts % ATTEMPTS_PER_LINE == 0 => {
-                    slog::info!(self.host.log(), "group waits to be founded";
+                    slog::info!(self.host.log(), "group waits to be bootstrapped";
                         "group" => &self.name, "for" => text);
                 }
                 Err(Fault::Wait(_)) => {}
@@ -117,7 +117,7 @@
                 return Err(Fault::Final(format!("{name} belongs to a group already")));
             }
         }
-        let req = message::FoundRequest {
+        let req = message::BootstrapRequest {
             group: self.name.clone(),
             members: set.clone(),
         };
@@ -126,12 +126,12 @@
             let told = self
                 .host
                 .client
-                .call(*address, "group-found", &req, timeout);
+                .call(*address, "group-bootstrap", &req, timeout);
             let told: nutmegdale_rpc::error::Result<()> = told.await;
             told.map_err(|err| Fault::Wait(format!("{address}: {err}")))?;
         }
-        let founded = self.handle.found(set, true).await;
-        founded.map_err(|err| Fault::Wait(err.to_string()))
+        let bootstrapped = self.handle.bootstrap(set, true).await;
+        bootstrapped.map_err(|err| Fault::Wait(err.to_string()))
     }
 
     fn check(&self, address: net::SocketAddr, answer: &message::GroupAnswer) -> Result<(), Fault> {
@@ -170,7 +170,7 @@
     if told != own {
         return Err(format!("settings list other members: {}", own.join(", ")));
     }
-    match handle.found(set.clone(), false).await {
+    match handle.bootstrap(set.clone(), false).await {
         Err(handle::ChangeError::Refused(input::Refusal::NotBlank))
             if handle.status().members == set =>
         {
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -3,7 +3,7 @@
 //! A group is bootstrapped once, and only by replicas whose folders an operator prepared with
 //! [`prepare`]; see [docs/replication.md](../../../docs/replication.md).
 
-use crate::{founding, peers};
+use crate::{bootstrap, peers};
 use bytes::Bytes;
 use nutmegdale_base::{clock, rng};
 use nutmegdale_consensus::{status, types};
@@ -143,12 +143,12 @@
                 let req: message::MemberChangeRequest = server::decode(&body)?;
                 server::encode(&host.change(&req.group, req.change).await)
             })),
-            "group-found" => Some(Box::pin(async move {
-                let req: message::FoundRequest = server::decode(&body)?;
+            "group-bootstrap" => Some(Box::pin(async move {
+                let req: message::BootstrapRequest = server::decode(&body)?;
                 let found = host.group(&req.group).ok_or_else(no_group)?;
-                let founded = founding::accept(&found.handle, &found.listed, req.members);
+                let bootstrapped = bootstrap::accept(&found.handle, &found.listed, req.members);
                 let refused = |text| (hyper::StatusCode::CONFLICT, text);
-                founded.await.map_err(refused)?;
+                bootstrapped.await.map_err(refused)?;
                 server::encode(&())
             })),
             _ => None,
@@ -189,7 +189,7 @@
         }
     }
 
-    /// Hands over every lead and stops every group.
+    /// Transfers leadership of every group and stops every group.
     pub async fn stop(&self) {
         let groups = self.groups.read();
         let groups = groups.unwrap_or_else(sync::PoisonError::into_inner).clone();
@@ -247,13 +247,13 @@
     let group = Group {
         handle: started.handle.clone(),
         identity: started.identity,
-        listed: members.iter().map(founding::listed).collect(),
+        listed: members.iter().map(bootstrap::listed).collect(),
     };
     let mut groups = host.groups.write();
     let groups = groups.as_deref_mut();
     let groups = groups.map_err(|_| io::Error::other("an earlier start of a group failed"))?;
     groups.insert(name.to_owned(), group);
-    founding::begin(host, name, members, &started);
+    bootstrap::begin(host, name, members, &started);
     Ok(started.handle)
 }
 
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -77,7 +77,7 @@
 
     /// Answers a sync once something changed or the time to hold it is over.
     ///
-    /// The quorum confirms the lead after the hold, so the answer is current when it is made.
+    /// The quorum confirms leadership after the hold, so the answer is current when it is made.
     pub async fn sync(&self, req: &message::SyncRequest) -> message::SyncReply {
         let arrived = self.clock.now();
         let epoch = match self.recent_term(arrived).await {
@@ -98,7 +98,7 @@
         }
     }
 
-    /// Confirms the lead and shows the soft state of this term to `read`.
+    /// Confirms leadership and shows the soft state of this term to `read`.
     ///
     /// # Errors
     ///
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -64,7 +64,7 @@
     let admin_listener = listen::bind(control.admin).await?;
     slog::info!(log, "control role started"; "listen" => %control.listen, "admin" => %control.admin);
     let bounds = listen::Bounds::default();
-    // The groups stop first: handing over the lead needs the listener for the other replicas.
+    // The groups stop first: a transfer of leadership needs the listener for the other replicas.
     let (groups_stopped_tx, groups_stopped) = watch::channel(false);
     let stopping = async {
         let mut stop = stop.clone();
--- a/crates/daemon/tests/contract.rs
+++ b/crates/daemon/tests/contract.rs
@@ -139,7 +139,7 @@
     }
 
     let health = get(observe, "/healthz", "").await.expect("answer");
-    assert!(health.ends_with("{\"gives_work\":true}"), "{health}");
+    assert!(health.ends_with("{\"ready\":true}"), "{health}");
     let metrics = get(observe, "/metrics", "").await.expect("answer");
     let counted =
         "nutmegdale_requests_total{class=\"none\",outcome=\"not-run\",reason=\"account\"} 1";
--- a/crates/daemon/tests/replication.rs
+++ b/crates/daemon/tests/replication.rs
@@ -190,7 +190,7 @@
     }
 }
 
-/// A graceful stop must hand over the lead and end well, and the others must go on at once.
+/// A graceful stop must transfer leadership and end well, and the others must go on at once.
 #[tokio::test]
 async fn graceful_stop_hands_over_the_lead() {
     let mut cluster = start();
--- a/crates/entry/src/observe.rs
+++ b/crates/entry/src/observe.rs
@@ -1,4 +1,4 @@
-//! What an entry process shows of itself: metrics, a dump of its state, and whether it gives work.
+//! What an entry process shows of itself: metrics, a dump of its state, and whether it is ready.
 
 use crate::check;
 use crate::proxy;
@@ -90,10 +90,10 @@
 
     fn health(&self) -> hyper::Response<listen::Body> {
         match self.closed_reason(&self.published.load()) {
-            None => response::json(hyper::StatusCode::OK, &json!({ "gives_work": true })),
+            None => response::json(hyper::StatusCode::OK, &json!({ "ready": true })),
             Some(reason) => response::json(
                 hyper::StatusCode::SERVICE_UNAVAILABLE,
-                &json!({ "gives_work": false, "reason": reason.name() }),
+                &json!({ "ready": false, "reason": reason.name() }),
             ),
         }
     }
@@ -126,8 +126,8 @@
                 snapshot.view.version.0,
             ),
             gauge(
-                "nutmegdale_gives_work",
-                "1 if the process gives new work.",
+                "nutmegdale_ready",
+                "1 if the process accepts new work.",
                 u64::from(self.closed_reason(&snapshot).is_none()),
             ),
             gauge(
@@ -216,7 +216,7 @@
         let body = json!({
             "version": view.version,
             "boot": format!("{:016x}", self.boot),
-            "gives_work": reason.is_none(),
+            "ready": reason.is_none(),
             "reason": reason.map(outcome::Reason::name),
             "zones": zones.collect::<Vec<_>>(),
             "routes": routes.collect::<Vec<_>>(),
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -255,12 +255,12 @@
                 self.wait_for(answer, Pending::Change(reply));
             }
             handle::Request::Confirm { reply } => self.read(reply),
-            handle::Request::Found {
+            handle::Request::Bootstrap {
                 set,
                 is_last,
                 reply,
             } => {
-                let input = input::Input::Found { set: &set, is_last };
+                let input = input::Input::Bootstrap { set: &set, is_last };
                 let answer = match self.step(input) {
                     input::Answer::Refused(refusal) => Err(handle::ChangeError::Refused(refusal)),
                     _ => Ok(()),
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -67,7 +67,7 @@
         change: input::MemberChange,
         reply: ChangeReply,
     },
-    Found {
+    Bootstrap {
         set: types::MemberSet,
         is_last: bool,
         reply: ChangeReply,
@@ -169,8 +169,8 @@
     /// # Errors
     ///
     /// Refused if the replica belongs to a group already or is not listed as a voter.
-    pub async fn found(&self, set: types::MemberSet, is_last: bool) -> Result<(), ChangeError> {
-        self.change_by(|reply| Request::Found {
+    pub async fn bootstrap(&self, set: types::MemberSet, is_last: bool) -> Result<(), ChangeError> {
+        self.change_by(|reply| Request::Bootstrap {
             set,
             is_last,
             reply,
@@ -205,7 +205,7 @@
         self.status.clone()
     }
 
-    /// Hands over the lead if this replica has it, and stops the group's thread.
+    /// Transfers leadership if this replica leads, and stops the group's thread.
     pub async fn stop(&self) {
         let (reply, answer) = oneshot::channel();
         if self.send(Request::Stop { reply }).is_ok() {
--- a/crates/replica/tests/driver.rs
+++ b/crates/replica/tests/driver.rs
@@ -36,7 +36,7 @@
 #[tokio::test]
 async fn failing_disk_is_never_acknowledged() {
     for syncs in 0..12 {
-        let (_mesh, members) = group::found(1).await;
+        let (_mesh, members) = group::bootstrap(1).await;
         group::leader(&members).await;
         members[0].disk.fail_sync_after(syncs);
         let mut accepted = Vec::new();
@@ -63,7 +63,7 @@
 /// A replica whose disk failed must not go on showing the role that it had.
 #[tokio::test]
 async fn stopped_replica_shows_that_it_stopped() {
-    let (_mesh, members) = group::found(1).await;
+    let (_mesh, members) = group::bootstrap(1).await;
     group::leader(&members).await;
     members[0].disk.fail_sync_after(0);
     assert!(members[0].handle.propose(command(1)).await.is_err());
@@ -76,7 +76,7 @@
 /// A full disk must stop the replica like a failing one.
 #[tokio::test]
 async fn full_disk_is_never_acknowledged() {
-    let (_mesh, members) = group::found(1).await;
+    let (_mesh, members) = group::bootstrap(1).await;
     group::leader(&members).await;
     members[0].disk.limit(3_000);
     let mut accepted = Vec::new();
@@ -96,7 +96,7 @@
 /// The loss of the leader's disk in the middle of changes must lose nothing that was accepted.
 #[tokio::test]
 async fn group_goes_on_when_the_disk_of_its_leader_fails() {
-    let (_mesh, mut members) = group::found(3).await;
+    let (_mesh, mut members) = group::bootstrap(3).await;
     let first = group::leader(&members).await;
     members[first].disk.fail_sync_after(7);
     let mut accepted = Vec::new();
@@ -121,7 +121,7 @@
 /// A sync for each command would bound the throughput of the group by its disk.
 #[tokio::test]
 async fn waiting_commands_share_a_sync() {
-    let (_mesh, members) = group::found(1).await;
+    let (_mesh, members) = group::bootstrap(1).await;
     group::leader(&members).await;
     let before = members[0].disk.sync_count();
     let mut waiting = tokio::task::JoinSet::new();
@@ -143,8 +143,8 @@
     let mut cfg = group::config(1);
     cfg.snapshot_after_bytes = 2_000;
     let member = group::start(&mesh, cfg.clone(), &disk);
-    let founded = member.handle.found(group::set(1), true).await;
-    founded.expect("group is founded");
+    let bootstrapped = member.handle.bootstrap(group::set(1), true).await;
+    bootstrapped.expect("group is bootstrapped");
     let members = [member];
     group::leader(&members).await;
     for number in 0..500 {
@@ -166,7 +166,7 @@
 /// A graceful stop must not cost the group an election timeout.
 #[tokio::test]
 async fn stop_hands_over_the_lead() {
-    let (_mesh, mut members) = group::found(3).await;
+    let (_mesh, mut members) = group::bootstrap(3).await;
     let first = group::leader(&members).await;
     members[first]
         .handle
@@ -211,8 +211,8 @@
     let mut parts = group::parts(&mesh, Box::new(group::List::default()), disk, 1);
     parts.clock = sync::Arc::clone(&counting) as sync::Arc<dyn clock::Clock>;
     let started = driver::start(group::config(1), parts).expect("replica starts");
-    let founded = started.handle.found(group::set(1), true).await;
-    founded.expect("group is founded");
+    let bootstrapped = started.handle.bootstrap(group::set(1), true).await;
+    bootstrapped.expect("group is bootstrapped");
     tokio::time::sleep(time::Duration::from_millis(200)).await;
     let before = counting.count.load(atomic::Ordering::Relaxed);
     tokio::time::sleep(time::Duration::from_millis(900)).await;
--- a/crates/replica/tests/group/mod.rs
+++ b/crates/replica/tests/group/mod.rs
@@ -128,14 +128,14 @@
 }
 
 /// Starts a group of `count` replicas.
-pub(crate) async fn found(count: u64) -> (sync::Arc<Mesh>, Vec<Member>) {
+pub(crate) async fn bootstrap(count: u64) -> (sync::Arc<Mesh>, Vec<Member>) {
     let mesh = sync::Arc::new(Mesh::default());
     let members: Vec<Member> = (1..=count)
         .map(|id| start(&mesh, config(id), &fake::FakeDisk::new()))
         .collect();
     for member in members.iter().rev() {
-        let founded = member.handle.found(set(count), true).await;
-        founded.expect("group is founded");
+        let bootstrapped = member.handle.bootstrap(set(count), true).await;
+        bootstrapped.expect("group is bootstrapped");
     }
     (mesh, members)
 }
--- a/crates/rpc/src/message.rs
+++ b/crates/rpc/src/message.rs
@@ -101,7 +101,7 @@
     Effects(Vec<diff::Effect>),
 }
 
-/// State of the leader, after a quorum confirmed the lead.
+/// State of the leader, after a quorum confirmed its leadership.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Confirmed {
     /// Newest accepted version; it was confirmed after the sync arrived.
@@ -170,7 +170,7 @@
 
 /// Tells a replica the first members of its group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FoundRequest {
+pub struct BootstrapRequest {
     /// Name of the group.
     pub group: String,
     /// First members.
