--- a/crates/entry/src/one_time.rs
+++ b/crates/entry/src/one_time.rs
@@ -135,9 +135,8 @@
     req: hyper::Request<listen::Body>,
 ) -> (hyper::Response<listen::Body>, base_outcome::Outcome) {
     let version = snapshot.view.version;
-    let request_id = req.headers().get(header::REQUEST_ID).cloned();
     let started = start(shared, snapshot, checked, req).await;
-    let mut response = match started {
+    let response = match started {
         Ok(told) => told.await.unwrap_or_else(|_| {
             // The task ended without telling: nothing is known about its send.
             let reason = base_outcome::Reason::BrokenAnswer;
@@ -147,9 +146,6 @@
             response::refusal(base_outcome::Outcome::NotRun(reason), version, detail)
         }
     };
-    if let Some(id) = request_id {
-        response.headers_mut().insert(header::REQUEST_ID, id);
-    }
     let outcome = outcome_of(response.headers());
     (response, outcome)
 }
