--- a/crates/control/src/bootstrap.rs
+++ b/crates/control/src/bootstrap.rs
@@ -2,8 +2,9 @@
 //!
 //! The first process that the settings list asks all listed ones who they are. Only if all of them
 //! answer, were prepared by an operator, list the same processes and belong to no group (or to
-//! exactly the group to be bootstrapped), it tells all of them the members. A process that lost its disk
-//! has a new identity and was not prepared, so it neither bootstraps a group nor lets one be bootstrapped.
+//! exactly the group to be bootstrapped), it tells all of them the members. A process that lost its
+//! disk has a new identity and was not prepared, so it neither bootstraps a group nor lets one be
+//! bootstrapped.
 
 use crate::groups;
 use nutmegdale_consensus::{input, status, types};
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -225,13 +225,13 @@
         let current = self.published.load();
         let accepted = &current.accepted;
         let version = accepted.config.version;
-        let effects = accepted.history.diff(req.version, version);
-        let update = (version > req.version).then(|| match effects {
-            Some(effects) if req.version.0 > 0 => {
-                message::Update::Effects(effects.into_iter().map(without_before).collect())
-            }
-            _ => message::Update::Whole(Box::new(accepted.config.as_ref().clone())),
-        });
+        let update =
+            (version > req.version).then(|| match accepted.history.diff(req.version, version) {
+                Some(effects) if req.version.0 > 0 => {
+                    message::Update::Effects(effects.into_iter().map(without_before).collect())
+                }
+                _ => message::Update::Whole(Box::new(accepted.config.as_ref().clone())),
+            });
         let control = self.control_list();
         let mut state = self.state();
         state.table.note_answer(now, &req.entry.name);
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -173,8 +173,9 @@
             if !self.published.has_lease(self.clock.now()) {
                 return Err(outcome::Reason::ConfigLease);
             }
-            let newest = self.published.load();
-            if !recheck::still_permits(&newest, snapshot, checked, server) {
+            let newer = self.published.newer_than(snapshot);
+            if newer.is_some_and(|newer| !recheck::still_permits(&newer, snapshot, checked, server))
+            {
                 return Err(outcome::Reason::NoServer);
             }
             if is_cold && !live.lease.is_valid(self.clock.now()) {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,7 +1,8 @@
 //! Sends one request to one server and passes its answer on.
 //!
-//! Invariant: a request is sent only with a [`nutmegdale_routing::permit::Permit`] for the server's region, and an
-//! attempt is `NotRun` only if no byte of it was written or the server stated that it did not run.
+//! Invariant: a request is sent only with a [`nutmegdale_routing::permit::Permit`] for the server's
+//! region, and an attempt is `NotRun` only if no byte of it was written or the server stated that it
+//! did not run.
 
 use crate::flight;
 use crate::head;
--- a/crates/entry/src/recheck.rs
+++ b/crates/entry/src/recheck.rs
@@ -9,7 +9,7 @@
 use nutmegdale_base::entity;
 use nutmegdale_membership::announcement;
 
-/// Returns whether the newest snapshot still permits a send that `used` permits.
+/// Returns whether a newer snapshot still permits a send that `used` permits.
 ///
 /// Names are compared, since indices of two views do not match. This costs a scan of the service's
 /// servers, but only for requests that outlive their snapshot.
@@ -19,9 +19,6 @@
     checked: &check::Checked,
     server: entity::Server,
 ) -> bool {
-    if std::ptr::eq(newest, used) {
-        return true;
-    }
     if newest.view.is_here_out {
         return false;
     }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -143,6 +143,13 @@
         self.snapshot.load_full()
     }
 
+    /// Returns the newest snapshot if it is another one than `used`; most often it is not.
+    pub fn newer_than(&self, used: &Snapshot) -> Option<sync::Arc<Snapshot>> {
+        let newest = self.snapshot.load();
+        let is_same = std::ptr::eq(sync::Arc::as_ptr(&newest), used);
+        (!is_same).then(|| sync::Arc::clone(&newest))
+    }
+
     /// Publishes a snapshot. It must come before the lease that confirms it is extended.
     pub fn store(&self, snapshot: Snapshot) {
         self.snapshot.store(sync::Arc::new(snapshot));
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -12,5 +12,4 @@
 mod gate;
 pub mod handle;
 pub mod machine;
-pub mod single;
 pub mod transport;
