--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -6,7 +6,7 @@
 use crate::{bootstrap, peers};
 use bytes::Bytes;
 use nutmegdale_base::{clock, rng};
-use nutmegdale_consensus::{status, types};
+use nutmegdale_consensus::{config, status, types};
 use nutmegdale_replica::{driver, handle, machine};
 use nutmegdale_rpc::{client, message, server};
 use nutmegdale_settings::model;
@@ -36,6 +36,7 @@
     region: String,
     address: net::SocketAddr,
     data: path::PathBuf,
+    timing: config::Config,
     clock: sync::Arc<dyn clock::Clock>,
     log: slog::Logger,
     peers: sync::Arc<peers::Peers>,
@@ -51,12 +52,25 @@
 }
 
 impl Host {
-    /// Creates the host of a process. Must run inside the runtime.
+    /// Creates the host of a process, whose groups have the default times. Must run inside the
+    /// runtime.
     pub fn new(
         process: &model::Process,
         control: &model::Control,
         clock: sync::Arc<dyn clock::Clock>,
         log: slog::Logger,
+    ) -> sync::Arc<Host> {
+        Host::with_timing(process, control, config::Config::default(), clock, log)
+    }
+
+    /// Creates the host of a process with times of its own for its groups. Must run inside the
+    /// runtime.
+    pub fn with_timing(
+        process: &model::Process,
+        control: &model::Control,
+        timing: config::Config,
+        clock: sync::Arc<dyn clock::Clock>,
+        log: slog::Logger,
     ) -> sync::Arc<Host> {
         let client = sync::Arc::new(client::Client::new(&process.cluster_token));
         let own = control.listen;
@@ -65,6 +79,7 @@
             region: process.region.clone(),
             address: own,
             data: control.data.clone(),
+            timing,
             clock,
             log,
             peers: sync::Arc::new(peers::Peers::new(own, sync::Arc::clone(&client))),
@@ -230,7 +245,8 @@
     members: &[model::Member],
     machine: Box<dyn machine::StateMachine>,
 ) -> io::Result<handle::Handle> {
-    let cfg = driver::Config::new(name, new_identity(false));
+    let mut cfg = driver::Config::new(name, new_identity(false));
+    cfg.node = host.timing.clone();
     let parts = driver::Parts {
         machine,
         transport: sync::Arc::clone(&host.peers)
@@ -265,22 +281,33 @@
 /// Fails if a folder holds a replica that belongs to a group or was not prepared.
 pub fn prepare(process: &model::Process, control: &model::Control) -> io::Result<()> {
     for name in [CATALOGUE.to_owned(), ledger_group(&process.region)] {
-        let disk = Box::new(open_disk(&control.data, &name)?);
-        let limits = store::Limits::default();
-        let failed = |err| io::Error::other(format!("group {name}: {err}"));
-        match store::Store::open(disk, limits).map_err(failed)? {
-            store::Opened::Blank(disk) => {
-                store::Store::create(disk, limits, new_identity(true)).map_err(failed)?;
-            }
-            store::Opened::Replica(store, recovered) => {
-                let is_used = recovered.hard_state != store::HardState::default()
-                    || !recovered.entries.is_empty();
-                if is_used || !store.identity().is_prepared {
-                    let text = format!("group {name}: the data folder holds a replica already");
-                    return Err(io::Error::other(text));
-                }
-            }
+        if !prepare_group(&control.data, &name)? {
+            let text = format!("group {name}: the data folder holds a replica already");
+            return Err(io::Error::other(text));
         }
     }
     Ok(())
 }
+
+/// Prepares the folder of one group for its first bootstrap; returns false if the folder holds a
+/// replica that belongs to a group or was not prepared.
+///
+/// # Errors
+///
+/// Fails if the folder cannot be read or written.
+pub fn prepare_group(data: &path::Path, name: &str) -> io::Result<bool> {
+    let disk = Box::new(open_disk(data, name)?);
+    let limits = store::Limits::default();
+    let failed = |err| io::Error::other(format!("group {name}: {err}"));
+    match store::Store::open(disk, limits).map_err(failed)? {
+        store::Opened::Blank(disk) => {
+            store::Store::create(disk, limits, new_identity(true)).map_err(failed)?;
+            Ok(true)
+        }
+        store::Opened::Replica(store, recovered) => {
+            let is_used = recovered.hard_state != store::HardState::default()
+                || !recovered.entries.is_empty();
+            Ok(!is_used && store.identity().is_prepared)
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/calls.rs
@@ -0,0 +1,88 @@
+//! Calls between coordinators, and from entry processes.
+
+use crate::{gossip, operations};
+use bytes::Bytes;
+use nutmegdale_control::groups;
+use nutmegdale_registry::{follow, state};
+use nutmegdale_replica::handle;
+use nutmegdale_rpc::server;
+use serde::{Deserialize, Serialize};
+use std::sync;
+
+/// Call that has the leader commit a command.
+pub(crate) const COMMAND: &str = "registry-command";
+/// Call that reads the current configuration from the leader.
+pub(crate) const READ: &str = "registry-read";
+/// Call of an entry process that follows the registry.
+pub(crate) const SYNC: &str = "registry-sync";
+/// Call of one coordinator to another.
+pub(crate) const GOSSIP: &str = "gossip";
+
+/// Encoded command for the leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Command {
+    pub(crate) body: Vec<u8>,
+}
+
+/// Answer of a leader to a command.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Answer {
+    Committed(state::Reply),
+    Unknown,
+    Unavailable(String),
+}
+
+impl Answer {
+    pub(crate) fn of(reply: Result<Vec<u8>, handle::ProposeError>) -> Answer {
+        match reply {
+            Ok(body) => match rmp_serde::from_slice(&body) {
+                Ok(reply) => Answer::Committed(reply),
+                Err(err) => Answer::Unavailable(err.to_string()),
+            },
+            Err(handle::ProposeError::Unknown) => Answer::Unknown,
+            Err(err) => Answer::Unavailable(err.to_string()),
+        }
+    }
+
+    pub(crate) fn into_result(self) -> operations::Result<state::Reply> {
+        match self {
+            Answer::Committed(reply) => Ok(reply),
+            Answer::Unknown => Err(operations::Error::Unknown),
+            Answer::Unavailable(text) => Err(operations::Error::Unavailable(text)),
+        }
+    }
+}
+
+/// Answers calls of other processes of the system.
+pub(crate) struct Calls {
+    pub(crate) host: sync::Arc<groups::Host>,
+    pub(crate) operations: sync::Arc<operations::Operations>,
+}
+
+impl server::Handler for Calls {
+    fn call(&self, name: &str, body: Bytes) -> Option<server::ReplyFuture> {
+        let operations = sync::Arc::clone(&self.operations);
+        match name {
+            SYNC => Some(Box::pin(async move {
+                let req: follow::SyncRequest = server::decode(&body)?;
+                server::encode(&operations.sync(req).await)
+            })),
+            GOSSIP => Some(Box::pin(async move {
+                let message: gossip::Message = server::decode(&body)?;
+                server::encode(&operations.hear(message))
+            })),
+            COMMAND => Some(Box::pin(async move {
+                let cmd: Command = server::decode(&body)?;
+                server::encode(&Answer::of(operations.propose_here(cmd.body).await))
+            })),
+            READ => Some(Box::pin(async move {
+                let unavailable = |err: handle::ProposeError| {
+                    (hyper::StatusCode::SERVICE_UNAVAILABLE, err.to_string())
+                };
+                operations.confirm().await.map_err(unavailable)?;
+                server::encode(&operations.local())
+            })),
+            _ => self.host.call(name, body),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/entries.rs
@@ -0,0 +1,98 @@
+//! Live entry processes and coordinators, as this coordinator knows them.
+//!
+//! The table is soft: each entry process is known from its own syncs, here or at another
+//! coordinator, and drops out when it has not been heard of for a while.
+
+use nutmegdale_base::clock;
+use nutmegdale_registry::follow;
+use serde::{Deserialize, Serialize};
+use std::collections;
+
+/// Time without a sync after which callers are no longer sent to an entry process. Two syncs and
+/// one round of gossip fit into it.
+const ALIVE_MS: clock::Millis = clock::Millis(2_200);
+
+/// Entry process with the age of its last sync.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// The process.
+    pub entry: follow::Entry,
+    /// Whether callers may be sent to it.
+    pub is_ready: bool,
+    /// Time since its last sync.
+    pub age: clock::Millis,
+}
+
+#[derive(Debug)]
+struct Row {
+    entry: follow::Entry,
+    is_ready: bool,
+    seen: clock::Millis,
+    /// Whether the last sync came to this coordinator.
+    is_own: bool,
+}
+
+/// Table of entry processes.
+#[derive(Debug, Default)]
+pub struct Entries {
+    rows: collections::BTreeMap<String, Row>,
+}
+
+impl Entries {
+    /// Notes a sync of an entry process with this coordinator.
+    pub fn synced(&mut self, now: clock::Millis, entry: &follow::Entry, is_ready: bool) {
+        self.put(entry, is_ready, now, true);
+    }
+
+    /// Merges what another coordinator has seen.
+    pub fn merge(&mut self, now: clock::Millis, seen: &[Seen]) {
+        for seen in seen {
+            let at = clock::Millis(now.since(seen.age).0);
+            self.put(&seen.entry, seen.is_ready, at, false);
+        }
+    }
+
+    fn put(&mut self, entry: &follow::Entry, is_ready: bool, seen: clock::Millis, is_own: bool) {
+        match self.rows.get_mut(&entry.name) {
+            Some(row) if row.seen > seen => {}
+            Some(row) if row.entry == *entry => {
+                row.is_ready = is_ready;
+                row.seen = seen;
+                row.is_own = is_own;
+            }
+            _ => {
+                let row = Row {
+                    entry: entry.clone(),
+                    is_ready,
+                    seen,
+                    is_own,
+                };
+                self.rows.insert(entry.name.clone(), row);
+            }
+        }
+    }
+
+    /// Returns the entry processes that synced with this coordinator, for the others.
+    pub fn own(&self, now: clock::Millis) -> Vec<Seen> {
+        let own = self.rows.values().filter(|row| row.is_own);
+        let seen = own.map(|row| Seen {
+            entry: row.entry.clone(),
+            is_ready: row.is_ready,
+            age: now.since(row.seen),
+        });
+        seen.filter(|seen| seen.age < ALIVE_MS).collect()
+    }
+
+    /// Returns the entry processes that callers may be sent to, by name.
+    pub fn ready(&self, now: clock::Millis) -> Vec<follow::Entry> {
+        let rows = self.rows.values();
+        let ready = rows.filter(|row| row.is_ready && now.since(row.seen) < ALIVE_MS);
+        ready.map(|row| row.entry.clone()).collect()
+    }
+
+    /// Drops entry processes that have not been heard of for long.
+    pub fn sweep(&mut self, now: clock::Millis) {
+        const KEPT_MS: clock::Millis = clock::Millis(60_000);
+        self.rows.retain(|_, row| now.since(row.seen) < KEPT_MS);
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/machine.rs
@@ -0,0 +1,163 @@
+//! The registry as the state machine of a replicated group.
+
+use nutmegdale_base::clock;
+use nutmegdale_registry::{feed, server, state};
+use nutmegdale_replica::machine;
+use std::collections;
+use std::sync;
+use tokio::sync::watch;
+
+/// Registry of this replica, shared by the group's thread and the services.
+#[allow(missing_debug_implementations)] // Holds a trait object.
+pub struct Shared {
+    inner: sync::Mutex<Inner>,
+    index: watch::Sender<u64>,
+    clock: sync::Arc<dyn clock::Clock>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: state::State,
+    feed: feed::Feed,
+    /// Time at which each server's record was applied here, from which its cold time counts.
+    noted: collections::HashMap<String, clock::Millis>,
+    changes: Vec<feed::Change>,
+}
+
+/// Changes since an index.
+#[derive(Debug)]
+pub struct Since {
+    /// Index up to which they go.
+    pub index: u64,
+    /// Whether they are the whole registry.
+    pub is_whole: bool,
+    /// The changes.
+    pub changes: Vec<feed::Change>,
+}
+
+impl Shared {
+    /// Creates an empty registry.
+    pub fn new(clock: sync::Arc<dyn clock::Clock>) -> sync::Arc<Shared> {
+        sync::Arc::new(Shared {
+            inner: sync::Mutex::default(),
+            index: watch::channel(0).0,
+            clock,
+        })
+    }
+
+    fn inner(&self) -> sync::MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Reads the state.
+    pub fn read<T>(&self, read: impl FnOnce(&state::State) -> T) -> T {
+        read(&self.inner().state)
+    }
+
+    /// Returns a receiver that is told of each new index.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.index.subscribe()
+    }
+
+    /// Returns whether an announcement changes what this replica holds.
+    pub fn is_news(&self, new: &server::Announcement) -> bool {
+        let inner = self.inner();
+        let old = inner.state.servers.get(&new.id);
+        let old = old.map(|record| {
+            let announcement = &record.announcement;
+            (announcement, self.cold_left(&inner.noted, announcement))
+        });
+        server::is_news(new, old)
+    }
+
+    fn cold_left(
+        &self,
+        noted: &collections::HashMap<String, clock::Millis>,
+        announcement: &server::Announcement,
+    ) -> clock::Millis {
+        let noted = noted.get(&announcement.id).copied().unwrap_or_default();
+        announcement.cold_left.since(self.clock.now().since(noted))
+    }
+
+    /// Returns what a follower lacks that holds the registry up to `index`.
+    pub fn since(&self, index: u64) -> Since {
+        let inner = self.inner();
+        let kept = (index > 0).then(|| inner.feed.since(index)).flatten();
+        let (is_whole, mut changes) = match kept {
+            Some(changes) => (false, changes),
+            None if index == 0 || index < inner.state.index => (true, inner.state.whole()),
+            None => (false, Vec::new()),
+        };
+        for change in &mut changes {
+            if let feed::Change::Server(announcement) = change {
+                announcement.cold_left = self.cold_left(&inner.noted, announcement);
+            }
+        }
+        Since {
+            index: inner.state.index,
+            is_whole,
+            changes,
+        }
+    }
+
+    fn publish(&self, index: u64) {
+        self.index.send_replace(index);
+    }
+}
+
+/// State machine of the group.
+#[allow(missing_debug_implementations)] // Holds a trait object.
+pub struct Machine {
+    shared: sync::Arc<Shared>,
+}
+
+impl Machine {
+    /// Creates the state machine that writes to `shared`.
+    pub fn new(shared: sync::Arc<Shared>) -> Machine {
+        Machine { shared }
+    }
+}
+
+impl machine::StateMachine for Machine {
+    fn apply(&mut self, index: u64, cmd: &[u8], reply: &mut Vec<u8>) {
+        let now = self.shared.clock.now();
+        let cmd: state::Command =
+            rmp_serde::from_slice(cmd).expect("a replica of this build encoded the command");
+        let mut guard = self.shared.inner();
+        let inner = &mut *guard;
+        let answer = inner.state.apply(index, cmd, &mut inner.changes);
+        for change in &inner.changes {
+            match change {
+                feed::Change::Server(announcement) => {
+                    inner.noted.insert(announcement.id.clone(), now);
+                }
+                feed::Change::Forgotten(id) => drop(inner.noted.remove(id)),
+                _ => {}
+            }
+        }
+        inner.feed.extend(index, inner.changes.drain(..));
+        drop(guard);
+        rmp_serde::encode::write(reply, &answer).expect("an answer can be encoded");
+        self.shared.publish(index);
+    }
+
+    fn snapshot(&self, buf: &mut Vec<u8>) {
+        rmp_serde::encode::write_named(buf, &self.shared.inner().state)
+            .expect("the state can be encoded");
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), String> {
+        let state: state::State = rmp_serde::from_slice(snapshot).map_err(|err| err.to_string())?;
+        let now = self.shared.clock.now();
+        let index = state.index;
+        let mut inner = self.shared.inner();
+        inner.noted = state.servers.keys().map(|id| (id.clone(), now)).collect();
+        inner.feed.reset(index);
+        inner.state = state;
+        drop(inner);
+        self.shared.publish(index);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/metrics.rs
@@ -0,0 +1,84 @@
+//! Metrics of a coordinator.
+
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Metrics of one coordinator.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Calls of operators, servers and other processes, by call and outcome.
+    pub calls: IntCounterVec,
+    /// Whether this replica leads.
+    pub is_leader: IntGauge,
+    /// Last index that was applied.
+    pub applied: IntGauge,
+    /// Entry processes that callers may be sent to.
+    pub entries: IntGauge,
+    /// Changes of the group's members that this process asked for.
+    pub repairs: IntCounter,
+}
+
+impl Metrics {
+    /// Creates every series at zero.
+    ///
+    /// # Panics
+    ///
+    /// Panics if two metrics have one name, which no input can bring about.
+    pub fn new() -> Metrics {
+        let valid = "names and labels are valid and registered once";
+        let opts = Opts::new("nutmegdale_coordinator_calls_total", "Calls by outcome.");
+        let calls = IntCounterVec::new(opts, &["call", "outcome"]).expect(valid);
+        let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect(valid);
+        let is_leader = gauge(
+            "nutmegdale_coordinator_is_leader",
+            "1 if this replica leads.",
+        );
+        let applied = gauge(
+            "nutmegdale_coordinator_applied_index",
+            "Last applied index.",
+        );
+        let entries = gauge(
+            "nutmegdale_coordinator_entries",
+            "Entry processes that callers may be sent to.",
+        );
+        let repairs = IntCounter::new(
+            "nutmegdale_coordinator_repairs_total",
+            "Changes of the group's members that this process asked for.",
+        );
+        let repairs = repairs.expect(valid);
+        let registry = Registry::new();
+        registry.register(Box::new(calls.clone())).expect(valid);
+        registry.register(Box::new(repairs.clone())).expect(valid);
+        for gauge in [&is_leader, &applied, &entries] {
+            registry.register(Box::new(gauge.clone())).expect(valid);
+        }
+        Metrics {
+            registry,
+            calls,
+            is_leader,
+            applied,
+            entries,
+            repairs,
+        }
+    }
+
+    /// Counts a call.
+    pub fn count(&self, call: &str, outcome: &str) {
+        self.calls.with_label_values(&[call, outcome]).inc();
+    }
+
+    /// Returns the metrics in the text format.
+    pub fn text(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        // Writing to memory fails only for metrics without a name.
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        encoded.expect("metrics can be encoded");
+        buf
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -27,25 +27,43 @@
     #[argh(switch)]
     init: bool,
 
-    /// settings file (INI)
+    /// run on the users' platform, whose settings file is named by the environment
+    #[argh(switch)]
+    platform: bool,
+
+    /// port of the metrics on the platform
+    #[argh(option, default = "9464")]
+    metrics_port: u16,
+
+    /// settings file (INI); not with --platform
     #[argh(positional)]
-    settings: path::PathBuf,
+    settings: Option<path::PathBuf>,
 }
 
 fn main() -> process::ExitCode {
     let args: Args = argh::from_env();
-    let settings = match load(&args.settings) {
+    if args.platform {
+        return end(nutmegdale_platform::run::run(args.metrics_port));
+    }
+    let Some(path) = &args.settings else {
+        eprintln!("nutmegdale: a settings file is required");
+        return process::ExitCode::from(2);
+    };
+    let settings = match load(path) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
     if args.check {
-        println!("{}: settings are valid", args.settings.display());
+        println!("{}: settings are valid", path.display());
         return process::ExitCode::SUCCESS;
     }
-    let done = match args.init {
+    end(match args.init {
         true => init(&settings),
         false => start(&settings),
-    };
+    })
+}
+
+fn end(done: io::Result<()>) -> process::ExitCode {
     match done {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(err) => {
--- /dev/null
+++ b/crates/dispatch/src/cold.rs
@@ -0,0 +1,89 @@
+//! Paces requests to servers that warm up.
+//!
+//! The bound of a cold server is a rate for all entry processes together in every second, also for
+//! those that reach nobody. Each process therefore works with a share that needs no message: the
+//! processes with the highest rank for the server send at most one request a second each, and as
+//! many processes have a rank as the bound allows.
+
+use nutmegdale_base::clock;
+use std::hash::Hasher;
+use std::sync::atomic;
+
+/// Time between two requests of one process to one cold server. It exceeds the second of the bound
+/// so that requests that travel at different speeds do not arrive within one.
+const SPACING_MS: clock::Millis = clock::Millis(1_150);
+/// Part of the bound that is shared out, in percent; the rest covers processes that join or that
+/// rank by an older list.
+const SHARED_PERCENT: f64 = 85.0;
+
+/// Bound of cold servers over all processes.
+#[derive(Debug, Clone, Copy)]
+pub struct Bound {
+    /// Factor by which the rate may be exceeded.
+    pub overshoot: f64,
+    /// Requests in one second on top of that.
+    pub slack: f64,
+}
+
+impl Bound {
+    /// Returns how many processes may send to a server that bears `rate_per_s`.
+    pub fn holders_count(&self, rate_per_s: f64) -> usize {
+        let most = (rate_per_s * self.overshoot + self.slack) * SHARED_PERCENT / 100.0;
+        (most.max(1.0)) as usize
+    }
+}
+
+/// Process as the ranking sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Process<'a> {
+    /// Name.
+    pub name: &'a str,
+    /// Zone.
+    pub zone: &'a str,
+}
+
+fn rank(process: Process<'_>, server: &str, zone: &str) -> (bool, u64) {
+    // The standard library's hasher has fixed keys here, so that every process ranks alike.
+    let mut hasher = std::collections::hash_map::DefaultHasher::new();
+    hasher.write(process.name.as_bytes());
+    hasher.write(server.as_bytes());
+    (process.zone != zone, hasher.finish())
+}
+
+/// Returns whether `own` is among the `count` processes that may send to a cold server in `zone`.
+pub fn may_send(
+    own: Process<'_>,
+    others: &[Process<'_>],
+    server: &str,
+    zone: &str,
+    count: usize,
+) -> bool {
+    let mine = rank(own, server, zone);
+    let before = others
+        .iter()
+        .filter(|other| other.name != own.name && rank(**other, server, zone) < mine);
+    before.count() < count
+}
+
+/// Pace of one process to one server.
+#[derive(Debug, Default)]
+pub struct Pace {
+    next_ms: atomic::AtomicU64,
+}
+
+impl Pace {
+    /// Returns whether a request could be sent now.
+    pub fn is_open(&self, now: clock::Millis) -> bool {
+        now.0 >= self.next_ms.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Takes the right to send one request now.
+    pub fn take(&self, now: clock::Millis) -> bool {
+        let order = atomic::Ordering::AcqRel;
+        let next = (now + SPACING_MS).0;
+        let update = |at: u64| (now.0 >= at).then_some(next);
+        self.next_ms
+            .fetch_update(order, atomic::Ordering::Acquire, update)
+            .is_ok()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/estimate.rs
@@ -0,0 +1,52 @@
+//! What the requests of one route need, learned from answers.
+
+use nutmegdale_base::clock;
+use std::sync::atomic;
+
+/// Weight of the newest answer, in percent.
+const NEWEST_PERCENT: u64 = 5;
+/// Work that is assumed before the first answer.
+const WORK_DEFAULT_US: u64 = 100_000;
+
+/// Averages over the answers of one route.
+#[derive(Debug)]
+pub struct Estimate {
+    work_us: atomic::AtomicU64,
+    answer_bytes: atomic::AtomicU64,
+}
+
+impl Default for Estimate {
+    fn default() -> Estimate {
+        Estimate {
+            work_us: atomic::AtomicU64::new(WORK_DEFAULT_US),
+            answer_bytes: atomic::AtomicU64::new(0),
+        }
+    }
+}
+
+impl Estimate {
+    /// Notes an answer that took `span` at a server whose work took `stretch_percent` of its usual
+    /// time.
+    pub fn note(&self, span: clock::Millis, stretch_percent: u32, bytes: u64) {
+        let work_us = span.0 * 1000 * 100 / u64::from(stretch_percent.max(1));
+        blend(&self.work_us, work_us);
+        blend(&self.answer_bytes, bytes);
+    }
+
+    /// Returns the usual work of a request in milliseconds.
+    pub fn work_ms(&self) -> f64 {
+        self.work_us.load(atomic::Ordering::Relaxed) as f64 / 1000.0
+    }
+
+    /// Returns the usual size of an answer in kilobytes.
+    pub fn answer_kb(&self) -> f64 {
+        self.answer_bytes.load(atomic::Ordering::Relaxed) as f64 / 1000.0
+    }
+}
+
+fn blend(average: &atomic::AtomicU64, newest: u64) {
+    let order = atomic::Ordering::Relaxed;
+    let old = average.load(order);
+    let new = (old * (100 - NEWEST_PERCENT) + newest * NEWEST_PERCENT) / 100;
+    average.store(new, order);
+}
--- /dev/null
+++ b/crates/dispatch/src/placement.rs
@@ -0,0 +1,172 @@
+//! Predicts when each server would answer and picks the best.
+//!
+//! The load pattern: servers with three or four slots, shared by processes that do not see each
+//! other's requests, on VMs whose speed changes several times a second. A queue in front of one
+//! server or a slow VM costs a request its aim, so the prediction counts slots that are taken,
+//! the speed of the VM, the way there, and what the bytes of the answer cost on that way.
+
+use crate::health;
+use crate::signal;
+use nutmegdale_base::{clock, rng};
+
+/// Age at which a report of a VM's speed tells no more than the average.
+const STRETCH_TRUST_MS: f64 = 600.0;
+/// Speed that is assumed where nothing is known, in percent of the usual time: the average of VMs
+/// of which a third is several times slower for a while.
+const STRETCH_UNKNOWN_PERCENT: f64 = 200.0;
+/// Share of taken slots from which servers slow down.
+const CROWDED_SHARE: f64 = 0.75;
+/// Factor by which a crowded server is slower.
+const CROWDED_FACTOR: f64 = 1.4;
+/// Part by which predictions are spread, so that processes that know the same do not all pick the
+/// same server.
+const SPREAD: f64 = 0.06;
+
+/// Way from this process to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Distance {
+    /// The same zone.
+    Zone,
+    /// Another zone of the same region.
+    Region,
+    /// Another region.
+    Far,
+}
+
+/// Cost of a way.
+#[derive(Debug, Clone, Copy)]
+pub struct Way {
+    /// Time there and back in milliseconds.
+    pub rtt_ms: f64,
+    /// Delay in milliseconds that one kilobyte on this way is worth.
+    pub ms_per_kb: f64,
+}
+
+/// Costs of ways by distance.
+#[derive(Debug, Clone, Copy)]
+pub struct Ways {
+    /// Within the zone.
+    pub zone: Way,
+    /// Between zones of a region.
+    pub region: Way,
+    /// Between regions.
+    pub far: Way,
+}
+
+impl Ways {
+    /// Returns the way for a distance.
+    pub fn get(&self, distance: Distance) -> &Way {
+        match distance {
+            Distance::Zone => &self.zone,
+            Distance::Region => &self.region,
+            Distance::Far => &self.far,
+        }
+    }
+}
+
+/// Server that may get the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// Load.
+    pub signal: &'a signal::Signal,
+    /// Failures.
+    pub health: &'a health::Health,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Way to it.
+    pub distance: Distance,
+    /// Whether it warms up.
+    pub is_cold: bool,
+}
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Need {
+    /// Usual work in milliseconds.
+    pub work_ms: f64,
+    /// Usual size of the answer in kilobytes.
+    pub answer_kb: f64,
+}
+
+/// Prediction for one server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Prediction {
+    /// Time until the answer, in milliseconds.
+    pub answer_ms: f64,
+    /// Time by which servers are compared: the above, and what the way and failures cost.
+    pub cost_ms: f64,
+    /// Age of the report that it rests on; `None` without a report.
+    pub age: Option<clock::Millis>,
+    /// Speed that it rests on, in percent of the usual time.
+    pub stretch_percent: f64,
+    /// Requests at the server that it rests on.
+    pub busy: u32,
+}
+
+/// Factor by which a cold server is slower.
+const COLD_FACTOR: f64 = 2.0;
+/// Time that a failed answer costs a request in milliseconds: about one aim.
+const FAILURE_MS: f64 = 250.0;
+
+/// Predicts when a server would answer.
+pub fn predict(
+    now: clock::Millis,
+    candidate: &Candidate<'_>,
+    need: Need,
+    ways: &Ways,
+) -> Prediction {
+    let own = candidate.signal.inflight();
+    let last = candidate.signal.last(now);
+    let (busy, stretch) = match last {
+        Some(aged) => {
+            let trust = (1.0 - aged.age.0 as f64 / STRETCH_TRUST_MS).max(0.0);
+            let seen = f64::from(aged.stretch_percent);
+            let stretch = seen * trust + STRETCH_UNKNOWN_PERCENT * (1.0 - trust);
+            // Others that were seen long ago may have ended; half of them are taken to be there.
+            let others = f64::from(aged.others) * (0.5 + trust / 2.0);
+            (own + others.round() as u32, stretch)
+        }
+        None => (own, STRETCH_UNKNOWN_PERCENT),
+    };
+    let slots = f64::from(candidate.slots.max(1));
+    let taken = f64::from(busy + 1);
+    let mut work = need.work_ms * stretch / 100.0;
+    if taken / slots > CROWDED_SHARE {
+        work *= CROWDED_FACTOR;
+    }
+    if candidate.is_cold {
+        work *= COLD_FACTOR;
+    }
+    let wait = (taken - slots).max(0.0) / slots * work;
+    let way = ways.get(candidate.distance);
+    let answer_ms = way.rtt_ms + wait + work;
+    let failed = candidate.health.failed_share();
+    Prediction {
+        answer_ms,
+        cost_ms: answer_ms + need.answer_kb * way.ms_per_kb + failed * FAILURE_MS,
+        age: last.map(|aged| aged.age),
+        stretch_percent: stretch,
+        busy,
+    }
+}
+
+/// Returns the predictions of `candidates` with their positions, the best first.
+pub fn rank(
+    now: clock::Millis,
+    candidates: &[Candidate<'_>],
+    need: Need,
+    ways: &Ways,
+    rng: &mut dyn rng::Rng,
+) -> Vec<(usize, Prediction)> {
+    let mut ranked: Vec<_> = candidates
+        .iter()
+        .enumerate()
+        .map(|(n, candidate)| {
+            let prediction = predict(now, candidate, need, ways);
+            let jitter = 1.0 + SPREAD * (rng.below(1_000) as f64 / 1_000.0);
+            (n, prediction, prediction.cost_ms * jitter)
+        })
+        .collect();
+    ranked.sort_by(|a, b| a.2.total_cmp(&b.2));
+    ranked.into_iter().map(|(n, p, _)| (n, p)).collect()
+}
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,171 @@
+//! Picks the server of a send: asks the best candidates for their load first.
+
+use crate::{backend, live, probe, table};
+use nutmegdale_base::{clock, outcome};
+use nutmegdale_dispatch::{admission, placement};
+use std::sync;
+use std::time;
+
+/// Age up to which a load report is used without a health check. The speed of VMs changes several
+/// times a second.
+const FRESH_MS: clock::Millis = clock::Millis(30);
+/// Age up to which a server may get a request at all without a health check: it may have restarted
+/// cold since.
+const KNOWN_MS: clock::Millis = clock::Millis(1_500);
+/// Candidates that are asked at once.
+const ASKED_COUNT: usize = 3;
+/// Rounds of health checks before a choice.
+const ROUNDS_COUNT: usize = 2;
+/// Speed from which the choice goes on to further candidates, in percent of the usual time.
+const SLOW_PERCENT: f64 = 180.0;
+/// Time to wait for a health check beyond the way there and back.
+const ANSWER_MS: f64 = 5.0;
+
+/// What is placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// Position of the service.
+    pub service: usize,
+    /// What the request needs.
+    pub need: placement::Need,
+    /// Regions that it is bound to; empty if it is not.
+    pub homes: &'a [String],
+    /// Servers that had it already.
+    pub tried: &'a [sync::Arc<backend::Backend>],
+    /// Time left.
+    pub left: clock::Millis,
+}
+
+/// Server that was picked.
+#[derive(Debug)]
+pub struct Placed {
+    /// Server.
+    pub backend: sync::Arc<backend::Backend>,
+    /// Prediction that the choice rests on.
+    pub prediction: placement::Prediction,
+}
+
+/// Why no server was picked.
+#[derive(Debug, Clone, Copy)]
+pub struct Refused {
+    /// Reason.
+    pub reason: outcome::Reason,
+    /// Time after which the caller should return.
+    pub after: clock::Millis,
+}
+
+type Ranked = Vec<(sync::Arc<backend::Backend>, placement::Prediction)>;
+
+/// Picks a server for a send and takes the right to send to it.
+pub async fn place(
+    shared: &sync::Arc<live::Shared>,
+    table: &table::Table,
+    wanted: &Wanted<'_>,
+) -> Result<Placed, Refused> {
+    let service = &table.services[wanted.service];
+    for _ in 0..ROUNDS_COUNT {
+        let ranked = rank(shared, service, wanted);
+        if !ask(shared, service, &ranked).await {
+            break;
+        }
+        let ranked = rank(shared, service, wanted);
+        let is_good =
+            |(backend, prediction): &(sync::Arc<backend::Backend>, placement::Prediction)| {
+                prediction.stretch_percent < SLOW_PERCENT
+                    && prediction.busy < backend.announcement.slots
+            };
+        if ranked.first().is_some_and(is_good) {
+            break;
+        }
+    }
+    let mut ranked = rank(shared, service, wanted);
+    // The sort is stable, so each part keeps its order.
+    ranked.sort_by_key(|(_, prediction)| !is_known(prediction));
+    pick(shared, ranked, wanted)
+}
+
+fn pick(shared: &live::Shared, ranked: Ranked, wanted: &Wanted<'_>) -> Result<Placed, Refused> {
+    let mut rng = shared.rng();
+    let Some((_, best)) = ranked.first() else {
+        let after = admission::return_after(0.0, wanted.left, &mut rng);
+        let reason = outcome::Reason::NoServer;
+        return Err(Refused { reason, after });
+    };
+    let decision = admission::decide(best, wanted.need, wanted.left, &mut rng);
+    if let admission::Decision::Refuse { after } = decision {
+        let reason = outcome::Reason::Overload;
+        return Err(Refused { reason, after });
+    }
+    let now = shared.clock.now();
+    for (backend, prediction) in ranked {
+        if backend.is_open() && backend.take(now) {
+            backend.health.begin_trial(now);
+            return Ok(Placed {
+                backend,
+                prediction,
+            });
+        }
+    }
+    let after = admission::return_after(0.0, wanted.left, &mut rng);
+    let reason = outcome::Reason::NoServer;
+    Err(Refused { reason, after })
+}
+
+/// Returns the servers that may get the request, the best first. Those that fail are used only if
+/// there is nothing else.
+fn rank(shared: &live::Shared, service: &table::Service, wanted: &Wanted<'_>) -> Ranked {
+    let now = shared.clock.now();
+    let is_usable = |backend: &&sync::Arc<backend::Backend>| {
+        backend.is_open()
+            && backend.may_take(now)
+            && (wanted.homes.is_empty() || wanted.homes.contains(&backend.region))
+            && !wanted
+                .tried
+                .iter()
+                .any(|tried| sync::Arc::ptr_eq(tried, backend))
+    };
+    let usable: Vec<_> = service.backends.iter().filter(is_usable).collect();
+    let sound: Vec<_> = usable
+        .iter()
+        .copied()
+        .filter(|backend| backend.health.is_in(now))
+        .collect();
+    let chosen = if sound.is_empty() { usable } else { sound };
+    let candidates: Vec<_> = chosen.iter().map(|b| b.candidate(now)).collect();
+    let ways = &crate::settings::WAYS;
+    let ranked = placement::rank(now, &candidates, wanted.need, ways, &mut shared.rng());
+    let ranked = ranked.into_iter();
+    ranked
+        .map(|(n, prediction)| (sync::Arc::clone(chosen[n]), prediction))
+        .collect()
+}
+
+/// Asks the best servers whose reports are old; returns whether any was asked.
+async fn ask(shared: &sync::Arc<live::Shared>, service: &table::Service, ranked: &Ranked) -> bool {
+    let now = shared.clock.now();
+    let mut asked = Vec::new();
+    let mut wait_ms: f64 = 0.0;
+    for (backend, prediction) in ranked.iter().take(ASKED_COUNT) {
+        if prediction.age.is_some_and(|age| age <= FRESH_MS) || !probe::may_probe(shared, now) {
+            continue;
+        }
+        let way = crate::settings::WAYS.get(backend.distance);
+        wait_ms = wait_ms.max(way.rtt_ms * 2.0 + ANSWER_MS);
+        let path = service.spec.health_path.clone();
+        let probe = probe::probe(sync::Arc::clone(shared), sync::Arc::clone(backend), path);
+        asked.push(tokio::spawn(probe));
+    }
+    if asked.is_empty() {
+        return false;
+    }
+    let all = futures_util::future::join_all(asked);
+    let limit = time::Duration::from_micros((wait_ms * 1000.0) as u64);
+    // A server that does not answer in this time is judged by what is known of it.
+    drop(tokio::time::timeout(limit, all).await);
+    true
+}
+
+/// Returns whether a server was known lately.
+fn is_known(prediction: &placement::Prediction) -> bool {
+    prediction.age.is_some_and(|age| age <= KNOWN_MS)
+}
--- /dev/null
+++ b/crates/gateway/src/probe.rs
@@ -0,0 +1,87 @@
+//! Health checks right before a choice, since load reports are stale within milliseconds.
+
+use crate::{backend, live, metrics};
+use http_body_util::BodyExt;
+use hyper::header;
+use nutmegdale_admission::bucket;
+use nutmegdale_base::clock;
+use nutmegdale_dispatch::health;
+use nutmegdale_rpc::listen;
+use std::sync;
+use std::time;
+
+/// Time after which an unanswered health check counts as a failure. The answer does not wait for
+/// a slot, so this only covers the way and a busy VM.
+const SILENT_MS: u64 = 400;
+/// Part of the allowed health checks that is used, in percent; the rest covers processes that join.
+const USED_PERCENT: f64 = 70.0;
+
+/// Takes the right to one health check.
+pub fn may_probe(shared: &live::Shared, now: clock::Millis) -> bool {
+    let table = shared.table.load();
+    let allowed = shared.settings.bounds.probes_per_s * table.servers_count() as f64;
+    let own = allowed * USED_PERCENT / 100.0 / table.processes_count() as f64;
+    let rate = bucket::Rate::smooth((own as u64).max(1));
+    shared.probes.take(now, 1, rate).is_ok()
+}
+
+/// Asks a server for its load and notes the answer.
+pub async fn probe(
+    shared: sync::Arc<live::Shared>,
+    backend: sync::Arc<backend::Backend>,
+    path: String,
+) {
+    metrics::count(&shared.metrics.probes);
+    let limit = time::Duration::from_millis(SILENT_MS);
+    let asked = tokio::time::timeout(limit, ask(&shared, &backend, &path)).await;
+    let failure = match asked {
+        Ok(Ok(())) => return,
+        Ok(Err(failure)) => failure,
+        Err(_) => health::Failure::Silence,
+    };
+    metrics::count(&shared.metrics.probes_failed);
+    if failure == health::Failure::Silence {
+        backend.pool.renew();
+    }
+    shared.note_failure(&backend, failure, "health check");
+}
+
+async fn ask(
+    shared: &live::Shared,
+    backend: &backend::Backend,
+    path: &str,
+) -> Result<(), health::Failure> {
+    let started = shared.clock.now();
+    let own = backend.signal.inflight();
+    let checkout = backend.pool.checkout(started, clock::Millis::MAX).await;
+    let mut connection = checkout.map_err(|_| health::Failure::Connect)?;
+    let is_reused = connection.is_reused;
+    let host = backend.announcement.address.to_string();
+    let req = hyper::Request::get(path)
+        .header(header::HOST, host)
+        .body(listen::full(""))
+        .map_err(|_| health::Failure::Answer)?;
+    // A kept connection that the server has closed says nothing of the server.
+    let failure = match is_reused {
+        true => health::Failure::Silence,
+        false => health::Failure::Connect,
+    };
+    let answer = connection.sender.send_request(req).await;
+    let answer = answer.map_err(|_| failure)?;
+    let (head, body) = answer.into_parts();
+    body.collect().await.map_err(|_| failure)?;
+    let now = shared.clock.now();
+    let said = shared.dialect.answer(head.status, &head.headers);
+    if said.server.is_some_and(|server| server != backend.id()) {
+        return Err(health::Failure::Replaced);
+    }
+    if let Some(report) = said.report {
+        backend.signal.note(now, report, own);
+    }
+    match said.cold_left {
+        Some(left) if left > clock::Millis::ZERO => backend.cold_until(now + left),
+        _ => backend.warm(),
+    }
+    live::checkin(backend, now, connection, &head.headers);
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,299 @@
+//! Sends one request to one server and reads its answer.
+//!
+//! Invariants: a request is written only while the server is open to requests, which is asked once
+//! the connection is there; an attempt is `NotRun` only if no byte of it was written or the server
+//! states that it did not run; an answer is passed on only if it answers this very request and, up
+//! to the bound of what is held, only when it is complete.
+
+use crate::{backend, dialect, live, metrics, payload, pool};
+use bytes::Bytes;
+use hyper::{body, header};
+use nutmegdale_base::{clock, outcome};
+use nutmegdale_dispatch::{health, signal};
+use nutmegdale_rpc::listen;
+use std::pin;
+use std::sync;
+use std::task;
+use std::time;
+
+/// Idle time up to which a connection may carry a request that must not be sent twice. A health
+/// check or an answer has just shown that it works.
+const FRESH_IDLE_MS: clock::Millis = clock::Millis(300);
+/// Time without an answer, beyond twice the predicted one, after which a server counts as silent.
+const SILENT_MS: clock::Millis = clock::Millis(150);
+
+/// Head of a caller's request.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// Method.
+    pub method: hyper::Method,
+    /// Path and query.
+    pub uri: hyper::Uri,
+    /// Headers, without those that concern one connection.
+    pub headers: header::HeaderMap,
+}
+
+/// One send.
+#[derive(Debug)]
+pub struct Send {
+    /// Server.
+    pub backend: sync::Arc<backend::Backend>,
+    /// Head of the request.
+    pub head: sync::Arc<Head>,
+    /// Identifier of the request.
+    pub id: sync::Arc<str>,
+    /// Body.
+    pub payload: payload::Payload,
+    /// Whether the request must not be sent twice.
+    pub is_one_time: bool,
+    /// End of the time for it.
+    pub deadline: clock::Millis,
+    /// Predicted time until the answer in milliseconds.
+    pub predicted_ms: f64,
+}
+
+/// Answer of a server.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: hyper::StatusCode,
+    /// Headers.
+    pub headers: header::HeaderMap,
+    /// Body.
+    pub body: listen::Body,
+    /// Bytes of the body that were read.
+    pub held_bytes: u64,
+    /// Time from the send to the answer.
+    pub took: clock::Millis,
+    /// Speed of the server's VM when it answered, in percent of its usual time.
+    pub stretch_percent: u32,
+}
+
+/// Result of one send.
+#[derive(Debug)]
+pub enum Sent {
+    /// The server answered.
+    Answered(Answer),
+    /// The request provably did not run at this server; `true` if it was written to it.
+    NotRun(outcome::Reason, bool),
+    /// The request may have run.
+    Unknown(outcome::Reason),
+}
+
+/// Counts a request at a server until it has ended, however that comes about.
+#[derive(Debug)]
+struct Flight {
+    shared: Holder,
+    backend: sync::Arc<backend::Backend>,
+    started: clock::Millis,
+    patience: clock::Millis,
+    is_written: bool,
+    is_over: bool,
+}
+
+/// Parts that are shared; they hold trait objects.
+struct Holder(sync::Arc<live::Shared>);
+
+impl std::fmt::Debug for Holder {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Shared")
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.backend.signal.end();
+        let waited = self.shared.0.clock.now().since(self.started);
+        if self.is_written && !self.is_over && waited > self.patience {
+            let failure = health::Failure::Silence;
+            self.shared
+                .0
+                .note_failure(&self.backend, failure, "request");
+            self.backend.pool.renew();
+        }
+    }
+}
+
+impl Flight {
+    fn begin(shared: &sync::Arc<live::Shared>, send: &Send) -> Flight {
+        let patience = clock::Millis((send.predicted_ms * 2.0) as u64) + SILENT_MS;
+        send.backend.signal.begin();
+        Flight {
+            shared: Holder(sync::Arc::clone(shared)),
+            backend: sync::Arc::clone(&send.backend),
+            started: shared.clock.now(),
+            patience,
+            is_written: false,
+            is_over: false,
+        }
+    }
+
+    fn now(&self) -> clock::Millis {
+        self.shared.0.clock.now()
+    }
+
+    fn failed(&mut self, failure: health::Failure) {
+        self.is_over = true;
+        self.shared
+            .0
+            .note_failure(&self.backend, failure, "request");
+    }
+
+    fn take_report(&self, said: &dialect::Answer<'_>) {
+        if let Some(report) = said.report {
+            let own = self.backend.signal.inflight();
+            self.backend.signal.note(self.now(), report, own);
+        }
+        if let Some(left) = said.cold_left.filter(|left| *left > clock::Millis::ZERO) {
+            self.backend.cold_until(self.now() + left);
+        }
+    }
+}
+
+/// Sends a request and waits for its answer until its deadline.
+pub async fn send(shared: &sync::Arc<live::Shared>, send: Send) -> Sent {
+    let mut flight = Flight::begin(shared, &send);
+    let idle_max = match send.is_one_time {
+        true => FRESH_IDLE_MS,
+        false => clock::Millis::MAX,
+    };
+    let left = send.deadline.since(flight.now());
+    let checkout = send.backend.pool.checkout(flight.now(), idle_max);
+    let connection = match tokio::time::timeout(span(left), checkout).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(pool::Error::Full)) => return Sent::NotRun(outcome::Reason::Overload, false),
+        Ok(Err(pool::Error::Connect)) => {
+            flight.failed(health::Failure::Connect);
+            return Sent::NotRun(outcome::Reason::Connect, false);
+        }
+        Err(_) => return Sent::NotRun(outcome::Reason::Deadline, false),
+    };
+    let left = send.deadline.since(flight.now());
+    if left == clock::Millis::ZERO {
+        return Sent::NotRun(outcome::Reason::Deadline, false);
+    }
+    if !send.backend.is_open() {
+        return Sent::NotRun(outcome::Reason::NoServer, false);
+    }
+    flight.is_written = true;
+    metrics::count(&shared.metrics.sends);
+    let exchanged = exchange(shared, &mut flight, connection, send, left);
+    match tokio::time::timeout(span(left), exchanged).await {
+        Ok(sent) => sent,
+        // The dropped connection cancels the request at the server.
+        Err(_) => Sent::Unknown(outcome::Reason::Deadline),
+    }
+}
+
+fn span(left: clock::Millis) -> time::Duration {
+    time::Duration::from_millis(left.0)
+}
+
+async fn exchange(
+    shared: &sync::Arc<live::Shared>,
+    flight: &mut Flight,
+    mut connection: pool::Connection,
+    send: Send,
+    left: clock::Millis,
+) -> Sent {
+    let mut req = hyper::Request::new(send.payload.into_body());
+    *req.method_mut() = send.head.method.clone();
+    *req.uri_mut() = send.head.uri.clone();
+    *req.headers_mut() = send.head.headers.clone();
+    shared
+        .dialect
+        .prepare(req.headers_mut(), send.backend.id(), left);
+    let sent = connection.sender.try_send_request(req).await;
+    let response = match sent {
+        Ok(response) => response,
+        Err(mut err) => {
+            if err.take_message().is_some() {
+                flight.is_over = true;
+                return Sent::NotRun(outcome::Reason::Connect, false);
+            }
+            let failure = match connection.is_reused {
+                // The server may only have closed an idle connection.
+                true => health::Failure::Silence,
+                false => health::Failure::Answer,
+            };
+            flight.failed(failure);
+            return Sent::Unknown(outcome::Reason::BrokenAnswer);
+        }
+    };
+    let (head, incoming) = response.into_parts();
+    let said = shared.dialect.answer(head.status, &head.headers);
+    if said.id.is_some_and(|id| id != &*send.id) {
+        // It answers an earlier request; whether this one ran is not known.
+        flight.failed(health::Failure::Answer);
+        return Sent::Unknown(outcome::Reason::BrokenAnswer);
+    }
+    flight.take_report(&said);
+    if said.is_other_server {
+        flight.failed(health::Failure::Replaced);
+        return Sent::NotRun(outcome::Reason::ServerRefused, true);
+    }
+    let is_not_run = said.is_not_run;
+    let is_sound = !head.status.is_success()
+        || (said.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
+    let read = payload::Payload::read(incoming).await;
+    let payload = match read {
+        Ok(payload) if is_sound || is_not_run => payload,
+        _ if is_not_run => return Sent::NotRun(outcome::Reason::ServerRefused, true),
+        _ => {
+            flight.failed(health::Failure::Answer);
+            return Sent::Unknown(outcome::Reason::BrokenAnswer);
+        }
+    };
+    if is_not_run {
+        flight.is_over = true;
+        live::checkin(&send.backend, flight.now(), connection, &head.headers);
+        return Sent::NotRun(outcome::Reason::ServerRefused, true);
+    }
+    flight.is_over = true;
+    match head.status.is_server_error() {
+        true => flight.failed(health::Failure::Answer),
+        false => send.backend.health.succeeded(),
+    }
+    let last = send.backend.signal.last(flight.now());
+    let held_bytes = payload.held.len() as u64;
+    let body = match payload.rest {
+        None => {
+            live::checkin(&send.backend, flight.now(), connection, &head.headers);
+            payload.into_body()
+        }
+        Some(_) => listen::Body::new(Kept {
+            body: payload.into_body(),
+            _connection: connection,
+        }),
+    };
+    Sent::Answered(Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+        held_bytes,
+        took: flight.now().since(flight.started),
+        stretch_percent: last.map_or(signal::STRETCH_NORMAL_PERCENT, |aged| aged.stretch_percent),
+    })
+}
+
+/// Body that streams and keeps its connection until its end.
+struct Kept {
+    body: listen::Body,
+    _connection: pool::Connection,
+}
+
+impl body::Body for Kept {
+    type Data = Bytes;
+    type Error = listen::BodyError;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, listen::BodyError>>> {
+        pin::Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        body::Body::size_hint(&self.body)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/table.rs
@@ -0,0 +1,300 @@
+//! What the path of a request reads: routes, services and servers in force.
+
+use crate::{backend, settings};
+use nutmegdale_base::clock;
+use nutmegdale_dispatch::{budget, cold, estimate, placement};
+use nutmegdale_registry::{config, follow, server};
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+
+/// Part of a server's connections that all processes use together, in percent; the rest covers
+/// processes that join.
+const CONNECTIONS_USED_PERCENT: usize = 80;
+
+/// Route in force.
+#[derive(Debug)]
+pub struct Route {
+    /// What the operator set.
+    pub spec: config::Route,
+    /// Positions of the services, with the sum of weights up to each.
+    targets: Vec<(usize, f64)>,
+    /// What its requests need.
+    pub estimate: sync::Arc<estimate::Estimate>,
+    turn: atomic::AtomicU64,
+}
+
+impl Route {
+    /// Returns the position of the service of the next request.
+    ///
+    /// Multiples of the golden ratio are spread evenly, so that each service gets its share also of
+    /// a few requests.
+    pub fn next_service(&self) -> usize {
+        const GOLDEN: f64 = 0.618_033_988_749_895;
+        if let [(only, _)] = self.targets[..] {
+            return only;
+        }
+        let turn = self.turn.fetch_add(1, atomic::Ordering::Relaxed);
+        let total = self.targets.last().map_or(0.0, |(_, sum)| *sum);
+        let point = (turn as f64 * GOLDEN).fract() * total;
+        let found = self.targets.iter().find(|(_, sum)| point < *sum);
+        found
+            .or(self.targets.last())
+            .map_or(0, |(service, _)| *service)
+    }
+}
+
+/// Service in force.
+#[derive(Debug)]
+pub struct Service {
+    /// What the operator set.
+    pub spec: config::Service,
+    /// Servers that take requests.
+    pub backends: Vec<sync::Arc<backend::Backend>>,
+    /// Budget of second sends.
+    pub budget: sync::Arc<budget::Budget>,
+}
+
+/// Everything in force.
+#[derive(Debug)]
+pub struct Table {
+    /// Version of the configuration; 0 without one.
+    pub version: u64,
+    /// Index of the registry that it was built from.
+    pub index: u64,
+    /// Routes by host, the longest prefix first.
+    routes: collections::HashMap<String, Vec<Route>>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Entry processes that callers may be sent to.
+    pub entries: Vec<follow::Entry>,
+    /// Bounds of listeners, if there is a configuration.
+    pub listeners: Option<config::Listeners>,
+}
+
+impl Table {
+    /// Returns the route of a request.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.routes.get(host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.spec.prefix))
+    }
+
+    /// Returns the regions that the routes of a host are bound to; empty if one is not bound.
+    pub fn home_regions(&self, host: &str) -> &[String] {
+        let routes = self.routes.get(host).map_or(&[][..], Vec::as_slice);
+        routes.first().map_or(&[], |route| &route.spec.home_regions)
+    }
+
+    /// Returns how many entry processes share the bounds.
+    pub fn processes_count(&self) -> usize {
+        self.entries.len().max(1)
+    }
+
+    /// Returns the number of servers that take requests.
+    pub fn servers_count(&self) -> usize {
+        self.services.iter().map(|s| s.backends.len()).sum()
+    }
+
+    /// Returns the servers that take requests, of all services.
+    pub fn backends(&self) -> impl Iterator<Item = &sync::Arc<backend::Backend>> {
+        self.services.iter().flat_map(|service| &service.backends)
+    }
+}
+
+type Start = (String, u64);
+
+/// Builds tables and keeps live parts across them.
+#[derive(Debug)]
+pub struct Builder {
+    settings: sync::Arc<settings::Settings>,
+    backends: collections::HashMap<Start, sync::Arc<backend::Backend>>,
+    budgets: collections::HashMap<String, sync::Arc<budget::Budget>>,
+    estimates: collections::HashMap<String, sync::Arc<estimate::Estimate>>,
+    zones_out: collections::BTreeSet<String>,
+}
+
+impl Builder {
+    /// Creates a builder without live parts.
+    pub fn new(settings: sync::Arc<settings::Settings>) -> Builder {
+        Builder {
+            settings,
+            backends: collections::HashMap::new(),
+            budgets: collections::HashMap::new(),
+            estimates: collections::HashMap::new(),
+            zones_out: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Builds the table of a copy of the registry; `config` is its decoded configuration.
+    pub fn build(
+        &mut self,
+        now: clock::Millis,
+        copy: &follow::Copy,
+        config: Option<&config::Config>,
+    ) -> Table {
+        self.take_servers(now, copy);
+        self.take_zones(now, copy, config);
+        let services = config.map_or(&[][..], |config| &config.services);
+        let services: Vec<_> = services
+            .iter()
+            .map(|spec| self.service(now, spec, copy))
+            .collect();
+        let positions = services.iter().enumerate();
+        let positions = positions.map(|(n, service)| (service.spec.name.as_str(), n));
+        let positions: collections::HashMap<_, _> = positions.collect();
+        let mut routes = collections::HashMap::<String, Vec<Route>>::new();
+        for spec in config.iter().flat_map(|config| &config.routes) {
+            let row = self.route(spec, &positions);
+            routes.entry(spec.host.clone()).or_default().push(row);
+        }
+        for rows in routes.values_mut() {
+            rows.sort_by_key(|row| std::cmp::Reverse(row.spec.prefix.len()));
+        }
+        Table {
+            version: copy.version,
+            index: copy.index,
+            routes,
+            services,
+            entries: copy.entries.clone(),
+            listeners: config.map(|config| config.listeners),
+        }
+    }
+
+    /// Creates live parts of new starts and closes those that take no more requests.
+    fn take_servers(&mut self, now: clock::Millis, copy: &follow::Copy) {
+        let mut open = collections::HashSet::new();
+        for known in copy.servers.values() {
+            let announcement = &known.announcement;
+            let start = (announcement.id.clone(), announcement.born);
+            let backend = match self.backends.get(&start) {
+                Some(backend) if backend.announcement.address == announcement.address => {
+                    sync::Arc::clone(backend)
+                }
+                _ => {
+                    let backend = sync::Arc::new(self.backend(announcement));
+                    self.backends
+                        .insert(start.clone(), sync::Arc::clone(&backend));
+                    backend
+                }
+            };
+            if known.cold_until > now {
+                backend.cold_until(known.cold_until);
+            }
+            let is_out = copy.zones_out.contains(&announcement.zone);
+            if announcement.state == server::State::Ready && !is_out {
+                open.insert(start);
+            }
+        }
+        for (start, backend) in &self.backends {
+            if backend.set_open(open.contains(start)) && !open.contains(start) {
+                backend.pool.renew();
+            }
+        }
+        let known = |start: &Start| {
+            let known = copy.servers.get(&start.0);
+            known.is_some_and(|known| known.announcement.born == start.1)
+        };
+        self.backends.retain(|start, _| known(start));
+    }
+
+    fn backend(&self, announcement: &server::Announcement) -> backend::Backend {
+        let regions = &self.settings.regions;
+        let region = regions.get(&announcement.zone).cloned().unwrap_or_default();
+        let own = &self.settings.entry;
+        let distance = if announcement.zone == own.zone {
+            placement::Distance::Zone
+        } else if region == own.region {
+            placement::Distance::Region
+        } else {
+            placement::Distance::Far
+        };
+        backend::Backend::new(announcement.clone(), region, distance)
+    }
+
+    /// Servers of a zone that comes back may have turned cold meanwhile; they count as cold until
+    /// they say otherwise.
+    fn take_zones(
+        &mut self,
+        now: clock::Millis,
+        copy: &follow::Copy,
+        config: Option<&config::Config>,
+    ) {
+        let back: Vec<_> = self.zones_out.difference(&copy.zones_out).collect();
+        for backend in self.backends.values() {
+            if back.contains(&&backend.announcement.zone) {
+                let services = config.iter().flat_map(|config| &config.services);
+                let mut services = services.filter(|s| s.name == backend.announcement.service);
+                let warmup = services.next().map_or(clock::Millis::ZERO, |s| s.warmup);
+                backend.cold_until(now + warmup);
+            }
+        }
+        self.zones_out = copy.zones_out.clone();
+    }
+
+    fn service(
+        &mut self,
+        now: clock::Millis,
+        spec: &config::Service,
+        copy: &follow::Copy,
+    ) -> Service {
+        let processes = copy.entries.len().max(1);
+        let own = cold_process(&self.settings.entry);
+        let others: Vec<_> = copy.entries.iter().map(cold_process).collect();
+        let bounds = &self.settings.bounds;
+        let holders = bounds.cold.holders_count(spec.cold_per_s);
+        let connections = spec.connections_max as usize * CONNECTIONS_USED_PERCENT / 100;
+        let share = u32::try_from(connections / processes).unwrap_or(u32::MAX);
+        let of_service = |backend: &&sync::Arc<backend::Backend>| {
+            backend.is_open() && backend.announcement.service == spec.name
+        };
+        let mut backends: Vec<_> = self.backends.values().filter(of_service).cloned().collect();
+        backends.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
+        for backend in &backends {
+            let announcement = &backend.announcement;
+            let may = cold::may_send(own, &others, &announcement.id, &announcement.zone, holders);
+            backend.set_cold_holder(may);
+            backend.pool.set_share(share);
+        }
+        let budget = self.budgets.entry(spec.name.clone()).or_insert_with(|| {
+            sync::Arc::new(budget::Budget::new(now, &bounds.retries, processes))
+        });
+        Service {
+            spec: spec.clone(),
+            backends,
+            budget: sync::Arc::clone(budget),
+        }
+    }
+
+    fn route(
+        &mut self,
+        spec: &config::Route,
+        positions: &collections::HashMap<&str, usize>,
+    ) -> Route {
+        let mut sum = 0.0;
+        let mut targets = Vec::new();
+        for target in spec.targets.iter().filter(|target| target.weight > 0.0) {
+            // A checked configuration names known services only.
+            let Some(position) = positions.get(target.service.as_str()) else {
+                continue;
+            };
+            sum += target.weight;
+            targets.push((*position, sum));
+        }
+        let estimate = self.estimates.entry(spec.name.clone()).or_default();
+        Route {
+            spec: spec.clone(),
+            targets,
+            estimate: sync::Arc::clone(estimate),
+            turn: atomic::AtomicU64::new(0),
+        }
+    }
+}
+
+fn cold_process(entry: &follow::Entry) -> cold::Process<'_> {
+    cold::Process {
+        name: &entry.name,
+        zone: &entry.zone,
+    }
+}
--- a/crates/rpc/src/listen.rs
+++ b/crates/rpc/src/listen.rs
@@ -90,11 +90,23 @@
     listener: tokio::net::TcpListener,
     service: sync::Arc<dyn Service>,
     bounds: Bounds,
+    stop: watch::Receiver<bool>,
+    drain: clock::Millis,
+) -> bool {
+    serve_with(listener, service, &|| bounds, stop, drain).await
+}
+
+/// As [`serve`], with bounds that are read anew for each connection, since they may change while
+/// the process runs. The number of connections is bounded by the first bounds.
+pub async fn serve_with(
+    listener: tokio::net::TcpListener,
+    service: sync::Arc<dyn Service>,
+    current: &(dyn Fn() -> Bounds + Send + Sync),
     mut stop: watch::Receiver<bool>,
     drain: clock::Millis,
 ) -> bool {
-    let builder = builder(&bounds);
-    let permits = sync::Arc::new(tokio::sync::Semaphore::new(bounds.connections_max_count));
+    let connections_max_count = current().connections_max_count;
+    let permits = sync::Arc::new(tokio::sync::Semaphore::new(connections_max_count));
     let mut late_count = 0;
     while late_count < LATE_MAX_COUNT {
         late_count += u32::from(*stop.borrow());
@@ -108,8 +120,9 @@
             continue;
         };
         let service = sync::Arc::clone(&service);
+        let bounds = current();
         let conn = connection::serve(
-            builder.clone(),
+            builder(&bounds),
             stream,
             client,
             service,
@@ -124,7 +137,7 @@
     drop(listener);
     let drain = time::Duration::from_millis(drain.0);
     // Every permit is back once every connection has ended.
-    let count = u32::try_from(bounds.connections_max_count).unwrap_or(u32::MAX);
+    let count = u32::try_from(connections_max_count).unwrap_or(u32::MAX);
     tokio::time::timeout(drain, permits.acquire_many(count))
         .await
         .is_ok()
--- a/crates/telemetry/src/clock.rs
+++ b/crates/telemetry/src/clock.rs
@@ -4,23 +4,31 @@
 use std::time;
 
 /// Monotonic clock that starts at zero when it is created.
+///
+/// It goes on while the VM is suspended, unlike [`time::Instant`], so that a lease or a deadline
+/// that passed during a suspension has passed.
 #[derive(Debug, Clone, Copy)]
 pub struct SystemClock {
-    start: time::Instant,
+    start: time::Duration,
+}
+
+fn since_boot() -> time::Duration {
+    let now = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
+    now.expect("the system has a boot-time clock").into()
 }
 
 impl SystemClock {
     /// Starts a clock.
     pub fn start() -> SystemClock {
         SystemClock {
-            start: time::Instant::now(),
+            start: since_boot(),
         }
     }
 }
 
 impl clock::Clock for SystemClock {
     fn now(&self) -> clock::Millis {
-        let elapsed = self.start.elapsed().as_millis();
+        let elapsed = since_boot().saturating_sub(self.start).as_millis();
         clock::Millis(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
 }
--- a/crates/telemetry/src/failures.rs
+++ b/crates/telemetry/src/failures.rs
@@ -1,8 +1,7 @@
 //! Log of requests that were not answered, at a bounded rate.
 
+use crate::limiter;
 use nutmegdale_base::{class, clock, outcome};
-use std::sync::atomic;
-use std::sync::atomic::Ordering::Relaxed;
 
 /// Lines per second. A burst of refusals under overload must not cost more than the work it sheds.
 pub const LINES_PER_SECOND: u64 = 50;
@@ -30,9 +29,7 @@
 #[derive(Debug)]
 pub struct Failures {
     log: slog::Logger,
-    second: atomic::AtomicU64,
-    lines: atomic::AtomicU64,
-    suppressed: atomic::AtomicU64,
+    limiter: limiter::Limiter,
 }
 
 impl Failures {
@@ -40,18 +37,15 @@
     pub fn new(log: slog::Logger) -> Failures {
         Failures {
             log,
-            second: atomic::AtomicU64::new(0),
-            lines: atomic::AtomicU64::new(0),
-            suppressed: atomic::AtomicU64::new(0),
+            limiter: limiter::Limiter::new(LINES_PER_SECOND),
         }
     }
 
     /// Writes a line unless the second has had its lines; returns whether it was written.
     pub fn write(&self, now: clock::Millis, failure: &Failure<'_>) -> bool {
-        if !self.admit(now.0 / 1_000) {
-            self.suppressed.fetch_add(1, Relaxed);
+        let Some(suppressed) = self.limiter.admit(now) else {
             return false;
-        }
+        };
         let reason = failure.outcome.reason().map_or("", outcome::Reason::name);
         slog::info!(self.log, "request failed";
             "request_id" => failure.request_id,
@@ -62,14 +56,7 @@
             "class" => failure.class.map_or("", class::Class::name),
             "server" => failure.server.unwrap_or(""),
             "ms" => failure.took_ms,
-            "suppressed" => self.suppressed.swap(0, Relaxed));
+            "suppressed" => suppressed);
         true
     }
-
-    fn admit(&self, second: u64) -> bool {
-        if self.second.swap(second, Relaxed) != second {
-            self.lines.store(0, Relaxed);
-        }
-        self.lines.fetch_add(1, Relaxed) < LINES_PER_SECOND
-    }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod clock;
 pub mod failures;
+pub mod limiter;
 pub mod log;
 pub mod metrics;
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,4 +1,4 @@
-//! JSON log lines on standard error.
+//! JSON log lines on standard output.
 
 use slog::Drain;
 use std::io;
@@ -9,7 +9,7 @@
 
 /// Creates the logger of a process with its name on each line.
 pub fn logger(process: &str, level: slog::Level) -> slog::Logger {
-    let json = slog_json::Json::default(io::stderr()).fuse();
+    let json = slog_json::Json::default(io::stdout()).fuse();
     let filtered = slog::LevelFilter::new(json, level).fuse();
     let drain = slog_async::Async::new(filtered)
         .chan_size(QUEUE_MAX_LINES)
