Elect a first leader soon, wait for one, and learn answer sizes at once

Cause: after all processes were killed the group waited 0.8 to 1.6 s for its first election while entries had nothing to serve by; answer sizes were learned over hundreds of answers, so exports went between regions; a retry and a hedge together sent a request to three servers where two are allowed. Change: a start-up wait of its own, commands wait for a leader, averages start with the first answer, sends are bounded in one place; log lines on announcements are bounded.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -9,15 +9,18 @@
 impl node::Node {
     /// Sets the point of the next election after the start; a sole voter need not wait for others.
     pub(crate) fn settle(&mut self) {
-        self.reset_deadline();
+        self.set_deadline(self.cfg.start_ms);
         if self.members().voters().eq([self.id]) {
             self.deadline = self.now;
         }
     }
 
     pub(crate) fn reset_deadline(&mut self) {
-        let election_ms = self.cfg.election_ms.0;
-        let wait_ms = election_ms + self.rng.below(election_ms.max(1));
+        self.set_deadline(self.cfg.election_ms);
+    }
+
+    fn set_deadline(&mut self, shortest: clock::Millis) {
+        let wait_ms = shortest.0 + self.rng.below(shortest.0.max(1));
         self.deadline = self.now + clock::Millis(wait_ms);
     }
 
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -7,6 +7,7 @@
 use nutmegdale_registry::{config, follow, server, state};
 use nutmegdale_replica::handle;
 use nutmegdale_rpc::client;
+use nutmegdale_telemetry::limiter;
 use serde::{Deserialize, Serialize};
 use std::collections;
 use std::net;
@@ -15,12 +16,17 @@
 
 /// Longest time for a command or a read. Callers try another process after a second.
 const CALL_MS: clock::Millis = clock::Millis(900);
+/// Longest time to wait for a leader. Callers try another process after a second.
+const LEADER_MS: u64 = 600;
 /// Time between two looks at the list of entry processes while a sync is held.
 const LOOK_MS: u64 = 250;
 /// Time without an announcement after which a server is forgotten. It is long, since a server may
 /// be cut off from coordinators and still be reached by entry processes.
 const FORGET_MS: clock::Millis = clock::Millis(60_000);
 
+/// Log lines on announcements per second.
+pub(crate) const LINES_PER_SECOND: u64 = 30;
+
 /// Why nothing was decided.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Error {
@@ -69,6 +75,8 @@
     pub(crate) clock: sync::Arc<dyn clock::Clock>,
     pub(crate) table: sync::Mutex<Table>,
     pub(crate) log: slog::Logger,
+    /// Bound of log lines on announcements, which come in hundreds after a start.
+    pub(crate) lines: limiter::Limiter,
     /// Metrics.
     pub metrics: metrics::Metrics,
 }
@@ -124,6 +132,7 @@
 
     pub(crate) async fn confirm(&self) -> std::result::Result<u64, handle::ProposeError> {
         let limit = time::Duration::from_millis(CALL_MS.0);
+        self.wait_for_leader().await;
         let confirmed = tokio::time::timeout(limit, self.handle.confirm()).await;
         confirmed.unwrap_or(Err(handle::ProposeError::Unknown))
     }
@@ -166,8 +175,11 @@
         let (id, born) = (announcement.id.clone(), announcement.born);
         let (state, cold_left) = (announcement.state, announcement.cold_left);
         let reply = self.propose(&state::Command::Announce(announcement)).await;
-        slog::info!(self.log, "server announced"; "server" => id, "born" => born,
-            "state" => ?state, "cold_left_ms" => cold_left.0, "outcome" => ?reply);
+        if let Some(suppressed) = self.lines.admit(self.clock.now()) {
+            slog::info!(self.log, "server announced"; "server" => id, "born" => born,
+                "state" => ?state, "cold_left_ms" => cold_left.0, "outcome" => ?reply,
+                "suppressed" => suppressed);
+        }
         reply.map(drop)
     }
 
@@ -205,6 +217,7 @@
     /// `Unknown` if the command may still be committed, `Unavailable` if it was not accepted.
     pub async fn propose(&self, cmd: &state::Command) -> Result<state::Reply> {
         let body = rmp_serde::to_vec_named(cmd).expect("a command can be encoded");
+        self.wait_for_leader().await;
         let reply = match self.propose_here(body.clone()).await {
             Err(handle::ProposeError::NotLeader {
                 leader: Some(leader),
@@ -220,6 +233,15 @@
         reply.into_result()
     }
 
+    /// Waits while no leader is known, as after a start, so that callers need not come again.
+    async fn wait_for_leader(&self) {
+        let mut status = self.handle.subscribe();
+        let limit = time::Duration::from_millis(LEADER_MS);
+        let known = status.wait_for(|status| status.leader.is_some());
+        // Without a leader the call fails on its own.
+        drop(tokio::time::timeout(limit, known).await);
+    }
+
     pub(crate) async fn propose_here(
         &self,
         body: Vec<u8>,
--- a/crates/coordinator/src/service.rs
+++ b/crates/coordinator/src/service.rs
@@ -7,6 +7,7 @@
 use nutmegdale_registry::config;
 use nutmegdale_rpc::{client, listen, message, server};
 use nutmegdale_settings::model;
+use nutmegdale_telemetry::limiter;
 use std::collections;
 use std::io;
 use std::net;
@@ -24,6 +25,9 @@
 /// Shortest time without a leader before an election. Followers that lost their leader say so
 /// within twice this time, which has to leave room for their entry processes to ask elsewhere.
 const ELECTION_MS: clock::Millis = clock::Millis(800);
+/// Shortest time after a start before an election: a few times the way between regions, so that
+/// one candidate wins before the next one asks.
+const START_MS: clock::Millis = clock::Millis(150);
 /// Time between two heartbeats of the leader.
 const HEARTBEAT_MS: clock::Millis = clock::Millis(200);
 /// Time that a stopping coordinator waits for calls to end.
@@ -80,6 +84,7 @@
         let (process, control) = models(&settings);
         let timing = timing::Config {
             election_ms: ELECTION_MS,
+            start_ms: START_MS,
             heartbeat_ms: HEARTBEAT_MS,
             ..timing::Config::default()
         };
@@ -101,6 +106,7 @@
             clock,
             table: sync::Mutex::default(),
             log,
+            lines: limiter::Limiter::new(operations::LINES_PER_SECOND),
             metrics: metrics::Metrics::new(),
         };
         Ok(Coordinator {
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -3,8 +3,8 @@
 use nutmegdale_base::clock;
 use std::sync::atomic;
 
-/// Weight of the newest answer, in percent.
-const NEWEST_PERCENT: u64 = 5;
+/// Answers over which an average forgets; the first ones weigh equally.
+const MEMORY_COUNT: u64 = 20;
 /// Work that is assumed before the first answer.
 const WORK_DEFAULT_US: u64 = 100_000;
 
@@ -13,6 +13,7 @@
 pub struct Estimate {
     work_us: atomic::AtomicU64,
     answer_bytes: atomic::AtomicU64,
+    answers_count: atomic::AtomicU64,
 }
 
 impl Default for Estimate {
@@ -20,6 +21,7 @@
         Estimate {
             work_us: atomic::AtomicU64::new(WORK_DEFAULT_US),
             answer_bytes: atomic::AtomicU64::new(0),
+            answers_count: atomic::AtomicU64::new(0),
         }
     }
 }
@@ -29,8 +31,9 @@
     /// time.
     pub fn note(&self, span: clock::Millis, stretch_percent: u32, bytes: u64) {
         let work_us = span.0 * 1000 * 100 / u64::from(stretch_percent.max(1));
-        blend(&self.work_us, work_us);
-        blend(&self.answer_bytes, bytes);
+        let count = 1 + self.answers_count.fetch_add(1, atomic::Ordering::Relaxed);
+        blend(&self.work_us, work_us, count);
+        blend(&self.answer_bytes, bytes, count);
     }
 
     /// Returns the usual work of a request in milliseconds.
@@ -44,9 +47,9 @@
     }
 }
 
-fn blend(average: &atomic::AtomicU64, newest: u64) {
+fn blend(average: &atomic::AtomicU64, newest: u64, count: u64) {
     let order = atomic::Ordering::Relaxed;
+    let memory = count.min(MEMORY_COUNT);
     let old = average.load(order);
-    let new = (old * (100 - NEWEST_PERCENT) + newest * NEWEST_PERCENT) / 100;
-    average.store(new, order);
+    average.store((old * (memory - 1) + newest) / memory, order);
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -35,6 +35,8 @@
     current_at: clock::Millis,
     away_since: Option<clock::Millis>,
     position: usize,
+    /// Coordinator that answered last.
+    followed: Option<net::SocketAddr>,
 }
 
 impl Follower {
@@ -58,6 +60,7 @@
             current_at: now,
             away_since: None,
             position: 0,
+            followed: None,
         }
     }
 
@@ -136,8 +139,7 @@
         let reply = match reply {
             Ok(reply) => reply,
             Err(err) => {
-                slog::info!(self.shared.log, "coordinator lost"; "coordinator" => %target,
-                    "index" => self.copy.index, "error" => %err);
+                self.lost(target, &err);
                 return false;
             }
         };
@@ -146,13 +148,32 @@
         if is_current {
             self.current_at = now;
             self.known.clone_from(&reply.coordinators);
-        } else if !is_stale {
-            return false;
+            self.regained(target);
+        } else {
+            self.lost(target, &"it knows no leader");
+            if !is_stale {
+                return false;
+            }
         }
         self.take(now, reply, target);
         is_current
     }
 
+    fn lost(&mut self, target: net::SocketAddr, why: &dyn std::fmt::Display) {
+        if self.followed.take_if(|followed| *followed == target).is_some() {
+            slog::info!(self.shared.log, "coordinator lost"; "coordinator" => %target,
+                "index" => self.copy.index, "error" => %why);
+        }
+    }
+
+    fn regained(&mut self, target: net::SocketAddr) {
+        if self.followed != Some(target) {
+            slog::info!(self.shared.log, "coordinator followed"; "coordinator" => %target,
+                "index" => self.copy.index);
+            self.followed = Some(target);
+        }
+    }
+
     fn take(&mut self, now: clock::Millis, reply: follow::SyncReply, from: net::SocketAddr) {
         if !self.copy.take(now, reply) {
             return;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -322,6 +322,9 @@
         sendings: &mut FuturesUnordered<Sending>,
         is_hedge: bool,
     ) -> Option<clock::Millis> {
+        if self.writes_count >= self.route.spec.sends_max {
+            return None;
+        }
         let shared = call.shared;
         // What is in force may have changed since the request came.
         let table = shared.table.load_full();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,10 +44,10 @@
     },
     region: placement::Way {
         rtt_ms: 3.0,
-        ms_per_kb: 2.0,
+        ms_per_kb: 3.0,
     },
     far: placement::Way {
         rtt_ms: 17.0,
-        ms_per_kb: 4.0,
+        ms_per_kb: 8.0,
     },
 };
