Keep the weights of a split also over few requests of many processes

Cause: each process began with the first service of a route and began anew whenever the table was rebuilt, so the first service got more than its share.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod health;
 pub mod placement;
 pub mod signal;
+pub mod split;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -2,11 +2,11 @@
 
 use crate::{backend, settings};
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{budget, cold, estimate, placement};
+use nutmegdale_dispatch::{budget, cold, estimate, placement, split};
 use nutmegdale_registry::{config, follow, server};
 use std::collections;
+use std::hash::{Hash, Hasher};
 use std::sync;
-use std::sync::atomic;
 
 /// Part of a server's connections that all processes use together, in percent; the rest covers
 /// processes that join.
@@ -17,30 +17,20 @@
 pub struct Route {
     /// What the operator set.
     pub spec: config::Route,
-    /// Positions of the services, with the sum of weights up to each.
-    targets: Vec<(usize, f64)>,
+    /// Positions of its services.
+    targets: Vec<usize>,
+    /// Sum of the weights up to each service.
+    sums: Vec<f64>,
     /// What its requests need.
     pub estimate: sync::Arc<estimate::Estimate>,
-    turn: atomic::AtomicU64,
+    turns: sync::Arc<split::Turns>,
 }
 
 impl Route {
     /// Returns the position of the service of the next request.
-    ///
-    /// Multiples of the golden ratio are spread evenly, so that each service gets its share also of
-    /// a few requests.
     pub fn next_service(&self) -> usize {
-        const GOLDEN: f64 = 0.618_033_988_749_895;
-        if let [(only, _)] = self.targets[..] {
-            return only;
-        }
-        let turn = self.turn.fetch_add(1, atomic::Ordering::Relaxed);
-        let total = self.targets.last().map_or(0.0, |(_, sum)| *sum);
-        let point = (turn as f64 * GOLDEN).fract() * total;
-        let found = self.targets.iter().find(|(_, sum)| point < *sum);
-        found
-            .or(self.targets.last())
-            .map_or(0, |(service, _)| *service)
+        // A checked configuration gives each route a service.
+        self.targets.get(self.turns.next(&self.sums)).copied().unwrap_or(0)
     }
 }
 
@@ -112,6 +102,7 @@
     backends: collections::HashMap<Start, sync::Arc<backend::Backend>>,
     budgets: collections::HashMap<String, sync::Arc<budget::Budget>>,
     estimates: collections::HashMap<String, sync::Arc<estimate::Estimate>>,
+    turns: collections::HashMap<String, sync::Arc<split::Turns>>,
     zones_out: collections::BTreeSet<String>,
 }
 
@@ -123,6 +114,7 @@
             backends: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             estimates: collections::HashMap::new(),
+            turns: collections::HashMap::new(),
             zones_out: collections::BTreeSet::new(),
         }
     }
@@ -274,20 +266,29 @@
     ) -> Route {
         let mut sum = 0.0;
         let mut targets = Vec::new();
+        let mut sums = Vec::new();
         for target in spec.targets.iter().filter(|target| target.weight > 0.0) {
             // A checked configuration names known services only.
             let Some(position) = positions.get(target.service.as_str()) else {
                 continue;
             };
             sum += target.weight;
-            targets.push((*position, sum));
+            targets.push(*position);
+            sums.push(sum);
         }
         let estimate = self.estimates.entry(spec.name.clone()).or_default();
+        let own = &self.settings.entry.name;
+        let turns = self.turns.entry(spec.name.clone()).or_insert_with(|| {
+            let mut hasher = collections::hash_map::DefaultHasher::new();
+            (own, &spec.name).hash(&mut hasher);
+            sync::Arc::new(split::Turns::new(hasher.finish()))
+        });
         Route {
             spec: spec.clone(),
             targets,
+            sums,
             estimate: sync::Arc::clone(estimate),
-            turn: atomic::AtomicU64::new(0),
+            turns: sync::Arc::clone(turns),
         }
     }
 }
