--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -10,6 +10,9 @@
 /// Shortest time after which a refused caller is asked to return.
 const RETURN_MIN_MS: f64 = 50.0;
 
+/// Factor by which the longest time to return exceeds the shortest.
+const SPREAD_MAX: f64 = 1.5;
+
 /// Decision on a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Decision {
@@ -22,27 +25,48 @@
     },
 }
 
-/// Decides on a request with `left` until its deadline.
+/// Time that a request has.
+#[derive(Debug, Clone, Copy)]
+pub struct Time {
+    /// Time until the end of its aim.
+    pub to_aim: clock::Millis,
+    /// Time until its deadline.
+    pub to_deadline: clock::Millis,
+}
+
+/// Decides on a request, given the prediction for the best server.
 ///
-/// A request whose best prediction lies past its deadline would take a slot from one that can be
-/// served, and its caller would wait for nothing.
+/// Load pattern: more requests than the servers can work on. If each were admitted, all would wait
+/// and none would be answered within its aim. A request that can keep its aim is admitted; one that
+/// cannot takes only room that no other needs, and otherwise its caller is told at once when to
+/// return.
 pub fn decide(
     best: &placement::Prediction,
     need: placement::Need,
-    left: clock::Millis,
+    time: Time,
     rng: &mut dyn rng::Rng,
 ) -> Decision {
-    if best.answer_ms + MARGIN_MS <= left.0 as f64 {
+    let answer_ms = best.answer_ms + MARGIN_MS;
+    let is_in_aim = answer_ms <= time.to_aim.0 as f64;
+    let is_in_time = answer_ms <= time.to_deadline.0 as f64;
+    if is_in_aim || (is_in_time && best.has_room) {
         return Decision::Admit;
     }
+    let free_ms = best.answer_ms - need.work_ms;
+    let last_ms = time.to_aim.0 as f64 - need.work_ms - 2.0 * MARGIN_MS;
+    let free_ms = match last_ms >= RETURN_MIN_MS {
+        // A caller that returns by then may still be answered within its aim.
+        true => free_ms.min(last_ms / SPREAD_MAX),
+        false => free_ms,
+    };
     Decision::Refuse {
-        after: return_after(best.answer_ms - need.work_ms, left, rng),
+        after: return_after(free_ms, time.to_deadline, rng),
     }
 }
 
 /// Returns the time after which there will be room, given the time until the best server is free.
 ///
-/// Callers are spread over half of that time again, so that those refused together do not return
+/// Callers are spread over half of that time again ([`SPREAD_MAX`]), so that those refused together do not return
 /// together, and nobody is sent away for longer than a third of the time that it has left.
 pub fn return_after(free_ms: f64, left: clock::Millis, rng: &mut dyn rng::Rng) -> clock::Millis {
     let spread = 1.0 + rng.below(500) as f64 / 1_000.0;
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -1,10 +1,16 @@
 //! What the requests of one route need, learned from answers.
 
 use nutmegdale_base::clock;
+use std::cmp;
 use std::sync::atomic;
 
 /// Answers over which an average forgets; the first ones weigh equally.
 const MEMORY_COUNT: u64 = 20;
+/// Step of the running median of the times that callers wait, in percent.
+const USUAL_STEP_PERCENT: u64 = 2;
+/// Part of the usual time below which a caller has come before, in percent; callers differ by
+/// less.
+const AGAIN_PERCENT: u64 = 82;
 /// Work that is assumed before the first answer.
 const WORK_DEFAULT_US: u64 = 100_000;
 
@@ -14,6 +20,7 @@
     work_us: atomic::AtomicU64,
     answer_bytes: atomic::AtomicU64,
     answers_count: atomic::AtomicU64,
+    usual_wait_ms: atomic::AtomicU64,
 }
 
 impl Default for Estimate {
@@ -22,13 +29,15 @@
             work_us: atomic::AtomicU64::new(WORK_DEFAULT_US),
             answer_bytes: atomic::AtomicU64::new(0),
             answers_count: atomic::AtomicU64::new(0),
+            usual_wait_ms: atomic::AtomicU64::new(0),
         }
     }
 }
 
 impl Estimate {
-    /// Notes an answer that took `span` at a server whose work took `stretch_percent` of its usual
-    /// time.
+    /// Notes an answer that took `span` at a server that was not crowded and whose work took
+    /// `stretch_percent` of its usual time. Answers of crowded servers would count their waiting
+    /// as work.
     pub fn note(&self, span: clock::Millis, stretch_percent: u32, bytes: u64) {
         let work_us = span.0 * 1000 * 100 / u64::from(stretch_percent.max(1));
         let count = 1 + self.answers_count.fetch_add(1, atomic::Ordering::Relaxed);
@@ -36,6 +45,28 @@
         blend(&self.answer_bytes, bytes, count);
     }
 
+    /// Takes the time that a caller still waits and returns how long it has waited already.
+    ///
+    /// Callers of a route begin with similar times and state what is left when they come again, so
+    /// a time far below the median is that of a caller that came before. A few callers wait much
+    /// longer, which a median does not follow.
+    pub fn waited(&self, left: clock::Millis) -> clock::Millis {
+        let order = atomic::Ordering::Relaxed;
+        let usual = match self.usual_wait_ms.load(order) {
+            0 => left.0,
+            usual => usual,
+        };
+        let step = usual * USUAL_STEP_PERCENT / 100;
+        let next = match left.0.cmp(&usual) {
+            cmp::Ordering::Less => usual - step,
+            cmp::Ordering::Equal => usual,
+            cmp::Ordering::Greater => usual + step,
+        };
+        self.usual_wait_ms.store(next, order);
+        let is_again = left.0 < usual * AGAIN_PERCENT / 100;
+        clock::Millis(if is_again { usual - left.0 } else { 0 })
+    }
+
     /// Returns the usual work of a request in milliseconds.
     pub fn work_ms(&self) -> f64 {
         self.work_us.load(atomic::Ordering::Relaxed) as f64 / 1000.0
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -17,7 +17,7 @@
 /// Share of taken slots from which servers slow down.
 const CROWDED_SHARE: f64 = 0.75;
 /// Factor by which a crowded server is slower.
-const CROWDED_FACTOR: f64 = 1.4;
+const CROWDED_FACTOR: f64 = 1.5;
 /// Part by which predictions are spread, so that processes that know the same do not all pick the
 /// same server.
 const SPREAD: f64 = 0.06;
@@ -38,6 +38,8 @@
 pub struct Way {
     /// Time there and back in milliseconds.
     pub rtt_ms: f64,
+    /// Delay in milliseconds that a request on this way is worth.
+    pub ms: f64,
     /// Delay in milliseconds that one kilobyte on this way is worth.
     pub ms_per_kb: f64,
 }
@@ -77,6 +79,8 @@
     pub distance: Distance,
     /// Whether it warms up.
     pub is_cold: bool,
+    /// Whether it is among the servers that this process goes to first.
+    pub is_preferred: bool,
 }
 
 /// What a request needs.
@@ -101,6 +105,8 @@
     pub stretch_percent: f64,
     /// Requests at the server that it rests on.
     pub busy: u32,
+    /// Whether the server would still have room after this request.
+    pub has_room: bool,
 }
 
 /// Factor by which a cold server is slower.
@@ -108,6 +114,12 @@
 /// Time that a failed answer costs a request in milliseconds: about one aim.
 const FAILURE_MS: f64 = 250.0;
 
+/// Delay that is accepted to stay with the servers that this process goes to first: their load is
+/// known and their connections are open.
+const DETOUR_MS: f64 = 20.0;
+/// Servers of one service and distance that a process goes to first.
+pub const PREFERRED_COUNT: usize = 6;
+
 /// Predicts when a server would answer.
 pub fn predict(
     now: clock::Millis,
@@ -130,8 +142,9 @@
     };
     let slots = f64::from(candidate.slots.max(1));
     let taken = f64::from(busy + 1);
+    let has_room = taken / slots <= CROWDED_SHARE;
     let mut work = need.work_ms * stretch / 100.0;
-    if taken / slots > CROWDED_SHARE {
+    if !has_room {
         work *= CROWDED_FACTOR;
     }
     if candidate.is_cold {
@@ -141,12 +154,19 @@
     let way = ways.get(candidate.distance);
     let answer_ms = way.rtt_ms + wait + work;
     let failed = candidate.health.failed_share();
+    let detour = if candidate.is_preferred {
+        0.0
+    } else {
+        DETOUR_MS
+    };
+    let way_ms = way.ms + need.answer_kb * way.ms_per_kb;
     Prediction {
         answer_ms,
-        cost_ms: answer_ms + need.answer_kb * way.ms_per_kb + failed * FAILURE_MS,
+        cost_ms: answer_ms + way_ms + detour + failed * FAILURE_MS,
         age: last.map(|aged| aged.age),
         stretch_percent: stretch,
         busy,
+        has_room,
     }
 }
 
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -25,6 +25,7 @@
     pub pool: pool::Pool,
     is_open: atomic::AtomicBool,
     is_cold_holder: atomic::AtomicBool,
+    is_preferred: atomic::AtomicBool,
     cold_until_ms: atomic::AtomicU64,
 }
 
@@ -45,6 +46,7 @@
             pace: cold::Pace::default(),
             is_open: atomic::AtomicBool::new(false),
             is_cold_holder: atomic::AtomicBool::new(false),
+            is_preferred: atomic::AtomicBool::new(false),
             cold_until_ms: atomic::AtomicU64::new(0),
         }
     }
@@ -70,6 +72,12 @@
             .store(is_holder, atomic::Ordering::Release);
     }
 
+    /// Sets whether the server is among those that this process goes to first.
+    pub fn set_preferred(&self, is_preferred: bool) {
+        self.is_preferred
+            .store(is_preferred, atomic::Ordering::Relaxed);
+    }
+
     /// Notes until when the server is cold, at least.
     pub fn cold_until(&self, until: clock::Millis) {
         self.cold_until_ms
@@ -106,6 +114,7 @@
             slots: self.announcement.slots,
             distance: self.distance,
             is_cold: self.is_cold(now),
+            is_preferred: self.is_preferred.load(atomic::Ordering::Relaxed),
         }
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -160,7 +160,11 @@
     }
 
     fn lost(&mut self, target: net::SocketAddr, why: &dyn std::fmt::Display) {
-        if self.followed.take_if(|followed| *followed == target).is_some() {
+        if self
+            .followed
+            .take_if(|followed| *followed == target)
+            .is_some()
+        {
             slog::info!(self.shared.log, "coordinator lost"; "coordinator" => %target,
                 "index" => self.copy.index, "error" => %why);
         }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,7 +5,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::{body, header};
 use nutmegdale_base::{class, clock, outcome};
-use nutmegdale_dispatch::placement;
+use nutmegdale_dispatch::{admission, placement};
 use nutmegdale_entry::head;
 use nutmegdale_registry::config;
 use nutmegdale_rpc::listen;
@@ -129,7 +129,7 @@
             let outcome = outcome::Outcome::NotRun(outcome::Reason::NoRoute);
             call.refuse(hyper::StatusCode::NOT_FOUND, outcome, None)
         }
-        Some(route) => serve(&mut call, &table, route, req).await,
+        Some(route) => serve(&mut call, &table, route, req, given).await,
     };
     finish(
         &call,
@@ -185,6 +185,7 @@
     table: &table::Table,
     route: &table::Route,
     req: hyper::Request<body::Incoming>,
+    given: clock::Millis,
 ) -> Final {
     let (parts, incoming) = req.into_parts();
     let most = table
@@ -227,6 +228,7 @@
         lost: None,
         refused: None,
         hedged: false,
+        waited: route.estimate.waited(given),
     };
     exchange.run(call).await
 }
@@ -250,6 +252,8 @@
     lost: Option<outcome::Reason>,
     refused: Option<place::Refused>,
     hedged: bool,
+    /// Time that the caller waited before this attempt.
+    waited: clock::Millis,
 }
 
 /// How a request goes on.
@@ -339,7 +343,7 @@
             need,
             homes: &self.route.spec.home_regions,
             tried: &self.tried,
-            left: call.left(),
+            time: self.time(call),
         };
         let placed = match place::place(shared, &table, &wanted).await {
             Ok(placed) => placed,
@@ -368,6 +372,14 @@
         hedge_at
     }
 
+    fn time(&self, call: &Call<'_>) -> admission::Time {
+        let passed = self.waited + call.passed();
+        admission::Time {
+            to_aim: self.route.spec.aim.since(passed),
+            to_deadline: call.left(),
+        }
+    }
+
     fn is_worth_hedging(&self, placed: &place::Placed, call: &Call<'_>) -> bool {
         let prediction = &placed.prediction;
         prediction.stretch_percent <= HEDGE_SPEED_PERCENT
@@ -402,7 +414,8 @@
         }
         let work = self.route.estimate.work_ms();
         let aim = self.route.spec.aim.0 as f64;
-        let last = aim - call.passed().0 as f64 - work - MARGIN_MS.0 as f64;
+        let passed = self.waited + call.passed();
+        let last = aim - passed.0 as f64 - work - MARGIN_MS.0 as f64;
         let usual = work * HEDGE_WORK_FACTOR;
         let wait = match last >= usual {
             true => last,
@@ -433,6 +446,7 @@
             is_one_time: !self.route.spec.class.is_idempotent(),
             deadline: call.deadline,
             predicted_ms: placed.prediction.answer_ms,
+            had_room: placed.prediction.has_room,
         };
         let shared = sync::Arc::clone(call.shared);
         sendings.push(Box::pin(
@@ -492,7 +506,7 @@
             self.fallback = Some(answer);
             return self.again(is_last);
         }
-        if answer.status.is_success() {
+        if answer.status.is_success() && answer.had_room {
             self.route
                 .estimate
                 .note(answer.took, answer.stretch_percent, answer.held_bytes);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -32,8 +32,8 @@
     pub homes: &'a [String],
     /// Servers that had it already.
     pub tried: &'a [sync::Arc<backend::Backend>],
-    /// Time left.
-    pub left: clock::Millis,
+    /// Time that it has.
+    pub time: admission::Time,
 }
 
 /// Server that was picked.
@@ -87,11 +87,11 @@
 fn pick(shared: &live::Shared, ranked: Ranked, wanted: &Wanted<'_>) -> Result<Placed, Refused> {
     let mut rng = shared.rng();
     let Some((_, best)) = ranked.first() else {
-        let after = admission::return_after(0.0, wanted.left, &mut rng);
+        let after = admission::return_after(0.0, wanted.time.to_deadline, &mut rng);
         let reason = outcome::Reason::NoServer;
         return Err(Refused { reason, after });
     };
-    let decision = admission::decide(best, wanted.need, wanted.left, &mut rng);
+    let decision = admission::decide(best, wanted.need, wanted.time, &mut rng);
     if let admission::Decision::Refuse { after } = decision {
         let reason = outcome::Reason::Overload;
         return Err(Refused { reason, after });
@@ -106,7 +106,7 @@
             });
         }
     }
-    let after = admission::return_after(0.0, wanted.left, &mut rng);
+    let after = admission::return_after(0.0, wanted.time.to_deadline, &mut rng);
     let reason = outcome::Reason::NoServer;
     Err(Refused { reason, after })
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -50,6 +50,8 @@
     pub deadline: clock::Millis,
     /// Predicted time until the answer in milliseconds.
     pub predicted_ms: f64,
+    /// Whether the server was predicted to have room.
+    pub had_room: bool,
 }
 
 /// Answer of a server.
@@ -67,6 +69,8 @@
     pub took: clock::Millis,
     /// Speed of the server's VM when it answered, in percent of its usual time.
     pub stretch_percent: u32,
+    /// Whether the server was predicted to have room.
+    pub had_room: bool,
 }
 
 /// Result of one send.
@@ -246,6 +250,13 @@
     };
     if is_not_run {
         flight.is_over = true;
+        // A server that is full refuses rightly; one with free slots fails.
+        if said
+            .report
+            .is_some_and(|report| report.running < report.slots)
+        {
+            flight.failed(health::Failure::Answer);
+        }
         live::checkin(&send.backend, flight.now(), connection, &head.headers);
         return Sent::NotRun(outcome::Reason::ServerRefused, true);
     }
@@ -271,6 +282,7 @@
         headers: head.headers,
         body,
         held_bytes,
+        had_room: send.had_room,
         took: flight.now().since(flight.started),
         stretch_percent: last.map_or(signal::STRETCH_NORMAL_PERCENT, |aged| aged.stretch_percent),
     })
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,18 +36,21 @@
 }
 
 /// Costs of the ways to servers: the time of the links between zones and regions, and the delay
-/// that is accepted to spare them a kilobyte, since traffic between zones is billed by volume.
+/// that is accepted to spare them a request or a kilobyte, since traffic between zones is billed by volume.
 pub const WAYS: placement::Ways = placement::Ways {
     zone: placement::Way {
         rtt_ms: 0.5,
+        ms: 0.0,
         ms_per_kb: 0.0,
     },
     region: placement::Way {
         rtt_ms: 3.0,
+        ms: 4.0,
         ms_per_kb: 3.0,
     },
     far: placement::Way {
         rtt_ms: 17.0,
+        ms: 25.0,
         ms_per_kb: 8.0,
     },
 };
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -30,7 +30,10 @@
     /// Returns the position of the service of the next request.
     pub fn next_service(&self) -> usize {
         // A checked configuration gives each route a service.
-        self.targets.get(self.turns.next(&self.sums)).copied().unwrap_or(0)
+        self.targets
+            .get(self.turns.next(&self.sums))
+            .copied()
+            .unwrap_or(0)
     }
 }
 
@@ -249,6 +252,7 @@
             backend.set_cold_holder(may);
             backend.pool.set_share(share);
         }
+        prefer(&self.settings.entry.name, &backends);
         let budget = self.budgets.entry(spec.name.clone()).or_insert_with(|| {
             sync::Arc::new(budget::Budget::new(now, &bounds.retries, processes))
         });
@@ -299,3 +303,21 @@
         zone: &entry.zone,
     }
 }
+
+/// Marks the servers that this process goes to first: for each distance the same number, spread so
+/// that every server is first for as many processes as any other.
+fn prefer(own: &str, backends: &[sync::Arc<backend::Backend>]) {
+    let rank = |backend: &backend::Backend| {
+        let mut hasher = collections::hash_map::DefaultHasher::new();
+        (own, backend.id()).hash(&mut hasher);
+        hasher.finish()
+    };
+    let mut ranked: Vec<_> = backends.iter().collect();
+    ranked.sort_by_key(|backend| (backend.distance, rank(backend)));
+    let mut taken = collections::HashMap::new();
+    for backend in ranked {
+        let count = taken.entry(backend.distance).or_insert(0);
+        backend.set_preferred(*count < placement::PREFERRED_COUNT);
+        *count += 1;
+    }
+}
