--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,12 +45,12 @@
     },
     region: placement::Way {
         rtt_ms: 3.0,
-        ms: 4.0,
+        ms: 20.0,
         ms_per_kb: 3.0,
     },
     far: placement::Way {
         rtt_ms: 17.0,
-        ms: 25.0,
+        ms: 45.0,
         ms_per_kb: 8.0,
     },
 };
