--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -1,6 +1,6 @@
 //! Calls between coordinators, and from entry processes.
 
-use crate::{gossip, operations};
+use crate::{gossip, operations, rounds};
 use bytes::Bytes;
 use nutmegdale_control::groups;
 use nutmegdale_registry::{follow, state};
@@ -57,11 +57,13 @@
 pub(crate) struct Calls {
     pub(crate) host: sync::Arc<groups::Host>,
     pub(crate) operations: sync::Arc<operations::Operations>,
+    pub(crate) rounds: sync::Arc<rounds::Rounds>,
 }
 
 impl server::Handler for Calls {
     fn call(&self, name: &str, body: Bytes) -> Option<server::ReplyFuture> {
         let operations = sync::Arc::clone(&self.operations);
+        let rounds = sync::Arc::clone(&self.rounds);
         match name {
             SYNC => Some(Box::pin(async move {
                 let req: follow::SyncRequest = server::decode(&body)?;
@@ -69,7 +71,7 @@
             })),
             GOSSIP => Some(Box::pin(async move {
                 let message: gossip::Message = server::decode(&body)?;
-                server::encode(&operations.hear(message))
+                server::encode(&rounds.hear(message))
             })),
             COMMAND => Some(Box::pin(async move {
                 let cmd: Command = server::decode(&body)?;
--- a/crates/coordinator/src/entries.rs
+++ b/crates/coordinator/src/entries.rs
@@ -83,6 +83,39 @@
         seen.filter(|seen| seen.age < ALIVE_MS).collect()
     }
 
+    /// Returns the entry processes that callers may be sent to, with the age of their last sync.
+    pub fn ready_seen(&self, now: clock::Millis) -> Vec<Seen> {
+        let rows = self.rows.values();
+        let ready = rows.filter(|row| row.is_ready && now.since(row.seen) < ALIVE_MS);
+        let seen = ready.map(|row| Seen {
+            entry: row.entry.clone(),
+            is_ready: true,
+            age: now.since(row.seen),
+        });
+        seen.collect()
+    }
+
+    /// Replaces what is known of the entry processes that sync elsewhere by what the leader knows.
+    pub fn take_ready(&mut self, now: clock::Millis, seen: &[Seen]) {
+        self.rows
+            .retain(|name, row| row.is_own || seen.iter().any(|seen| seen.entry.name == *name));
+        self.merge(now, seen);
+    }
+
+    /// Removes entry processes that sync with no other coordinator any more.
+    pub fn remove_others(&mut self, gone: &[String]) {
+        self.rows
+            .retain(|name, row| row.is_own || !gone.contains(name));
+    }
+
+    /// Keeps alive what syncs elsewhere, as a leader that is in touch knows nothing else.
+    pub fn confirm_others(&mut self, now: clock::Millis) {
+        let others = self.rows.values_mut().filter(|row| !row.is_own);
+        for row in others.filter(|row| now.since(row.seen) < ALIVE_MS) {
+            row.seen = now;
+        }
+    }
+
     /// Returns the entry processes that callers may be sent to, by name.
     pub fn ready(&self, now: clock::Millis) -> Vec<follow::Entry> {
         let rows = self.rows.values();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod metrics;
 pub mod operations;
 pub mod repair;
+mod rounds;
 pub mod service;
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -57,8 +57,8 @@
 pub(crate) struct Table {
     pub(crate) entries: entries::Entries,
     pub(crate) peers: gossip::Peers,
-    /// Addresses of coordinators that others have named.
-    pub(crate) named: collections::BTreeSet<net::SocketAddr>,
+    /// Entry processes of this coordinator that each other one has been told of.
+    pub(crate) told: collections::HashMap<net::SocketAddr, Vec<(follow::Entry, bool)>>,
     /// Servers that announced themselves here since the last round of gossip.
     pub(crate) announced: collections::BTreeSet<String>,
     /// Time of the last announcement of each server, here or elsewhere.
--- a/crates/coordinator/src/service.rs
+++ b/crates/coordinator/src/service.rs
@@ -1,27 +1,21 @@
 //! Starts a coordinator and runs its rounds.
 
-use crate::{calls, gossip, machine, metrics, operations, repair};
+use crate::{calls, machine, metrics, operations, rounds};
 use nutmegdale_base::clock;
-use nutmegdale_consensus::{config as timing, status};
+use nutmegdale_consensus::config as timing;
 use nutmegdale_control::groups;
 use nutmegdale_registry::config;
-use nutmegdale_rpc::{client, listen, message, server};
+use nutmegdale_rpc::{client, listen, server};
 use nutmegdale_settings::model;
 use nutmegdale_telemetry::limiter;
-use std::collections;
 use std::io;
 use std::net;
 use std::path;
 use std::sync;
-use std::time;
 use tokio::sync::watch;
 
 /// Name of the group that replicates the registry.
-const GROUP: &str = "registry";
-/// Time between two rounds of gossip.
-const ROUND_MS: u64 = 500;
-/// Longest time of one message of gossip.
-const GOSSIP_MS: clock::Millis = clock::Millis(1_000);
+pub(crate) const GROUP: &str = "registry";
 /// Shortest time without a leader before an election. Followers that lost their leader say so
 /// within twice this time, which has to leave room for their entry processes to ask elsewhere.
 const ELECTION_MS: clock::Millis = clock::Millis(800);
@@ -125,9 +119,16 @@
     /// the replica stopped or was removed, after which the process has to be started again.
     pub async fn run(self, stop: watch::Receiver<bool>) -> io::Result<()> {
         let listener = listen::bind(self.settings.listen).await?;
+        let rounds = sync::Arc::new(rounds::Rounds {
+            operations: sync::Arc::clone(&self.operations),
+            host: sync::Arc::clone(&self.host),
+            settings: self.settings.clone(),
+            seeds: self.seeds.clone(),
+        });
         let calls = calls::Calls {
             host: sync::Arc::clone(&self.host),
             operations: sync::Arc::clone(&self.operations),
+            rounds: sync::Arc::clone(&rounds),
         };
         let token = &self.settings.cluster_token;
         let service = sync::Arc::new(server::CallService::new(token, sync::Arc::new(calls)));
@@ -140,158 +141,10 @@
             self.host.stop().await;
         };
         tokio::select! {
-            ended = self.rounds() => ended,
+            ended = rounds.run() => ended,
             _ = async { tokio::join!(serve, stop_group) } => Ok(()),
         }
     }
-
-    async fn rounds(&self) -> io::Result<()> {
-        let mut repair = repair::Repair::default();
-        let mut leads_since = None;
-        let mut round = tokio::time::interval(time::Duration::from_millis(ROUND_MS));
-        round.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            round.tick().await;
-            let now = self.operations.clock.now();
-            let status = self.operations.handle.status();
-            if status.role == status::Role::Stopped {
-                return Err(io::Error::other("the replica of the registry stopped"));
-            }
-            if self.was_removed(&status, now) {
-                self.erase()?;
-                return Err(io::Error::other("the replica was removed from its group"));
-            }
-            self.gossip(&status, now);
-            self.measure(&status, now);
-            let is_leader = status.role == status::Role::Leader;
-            leads_since = is_leader.then(|| leads_since.unwrap_or(now));
-            if let Some(since) = leads_since {
-                self.repair(&mut repair, &status, now).await;
-                self.operations.forget_silent(now.since(since)).await;
-            }
-        }
-    }
-
-    fn measure(&self, status: &status::Status, now: clock::Millis) {
-        let metrics = &self.operations.metrics;
-        metrics
-            .is_leader
-            .set(i64::from(status.role == status::Role::Leader));
-        metrics
-            .applied
-            .set(i64::try_from(status.applied.0).unwrap_or(i64::MAX));
-        let mut table = self.operations.table();
-        table.entries.sweep(now);
-        let entries = table.entries.ready(now).len();
-        metrics.entries.set(entries as i64);
-    }
-
-    fn sender(&self, status: &status::Status) -> gossip::Sender {
-        let is_leader = status.role == status::Role::Leader;
-        gossip::Sender {
-            address: self.settings.listen,
-            public: self.settings.public,
-            zone: self.settings.zone.clone(),
-            replica: status.id,
-            is_blank: status.role == status::Role::Blank,
-            leads: is_leader.then(|| gossip::Group {
-                term: status.term,
-                commit: status.commit,
-                members: status.members.members.iter().map(|m| m.id).collect(),
-            }),
-        }
-    }
-
-    fn gossip(&self, status: &status::Status, now: clock::Millis) {
-        let sender = self.sender(status);
-        let members = status.members.members.iter().map(|m| m.address);
-        let mut targets: collections::BTreeSet<_> = members.collect();
-        targets.extend(self.seeds.borrow().iter());
-        let message = {
-            let mut table = self.operations.table();
-            targets.extend(table.peers.live(now).map(|peer| peer.address));
-            targets.extend(table.named.iter());
-            table.peers.note(now, sender.clone());
-            gossip::Message {
-                sender,
-                entries: table.entries.own(now),
-                announced: std::mem::take(&mut table.announced).into_iter().collect(),
-            }
-        };
-        targets.remove(&self.settings.listen);
-        let message = sync::Arc::new(message);
-        for target in targets {
-            let operations = sync::Arc::clone(&self.operations);
-            let message = sync::Arc::clone(&message);
-            tokio::spawn(async move {
-                let call = operations
-                    .client
-                    .call(target, calls::GOSSIP, &*message, GOSSIP_MS);
-                let reply: nutmegdale_rpc::error::Result<gossip::Reply> = call.await;
-                // A process that does not answer is asked again in the next round.
-                if let Ok(reply) = reply {
-                    operations.table().named.extend(reply.known);
-                } else {
-                    operations.table().named.remove(&target);
-                }
-            });
-        }
-    }
-
-    async fn repair(
-        &self,
-        repair: &mut repair::Repair,
-        status: &status::Status,
-        now: clock::Millis,
-    ) {
-        let heard = self.operations.table().peers.heard(now);
-        let wanted = self.settings.voters_wanted_count;
-        let Some(change) = repair.next(now, status, &heard, wanted) else {
-            return;
-        };
-        self.operations.metrics.repairs.inc();
-        let reply = self.host.change_member(GROUP, change).await;
-        let is_done = matches!(reply, message::MemberChangeReply::Done { .. });
-        slog::info!(self.operations.log, "members of the group change"; "change" => ?change,
-            "term" => status.term.0, "done" => is_done, "outcome" => ?reply);
-    }
-
-    fn was_removed(&self, status: &status::Status, now: clock::Millis) -> bool {
-        if status.role == status::Role::Blank {
-            return false;
-        }
-        let table = self.operations.table();
-        let mut groups = table.peers.live(now).filter_map(|peer| peer.leads.as_ref());
-        groups.any(|group| group.has_removed(status.id, status.term, status.last))
-    }
-
-    /// Removes the folder of a replica that was removed from its group, so that the next start is
-    /// a new replica.
-    fn erase(&self) -> io::Result<()> {
-        let folder = self.settings.data.join(GROUP);
-        slog::warn!(
-            self.operations.log,
-            "replica was removed from its group and starts anew"
-        );
-        std::fs::remove_dir_all(folder)
-    }
-}
-
-impl operations::Operations {
-    /// Takes a message of another coordinator.
-    pub(crate) fn hear(&self, message: gossip::Message) -> gossip::Reply {
-        let now = self.clock.now();
-        let mut table = self.table();
-        table.entries.merge(now, &message.entries);
-        for id in message.announced {
-            table.alive.insert(id, now);
-        }
-        table.peers.note(now, message.sender);
-        let known = table.peers.live(now).map(|peer| peer.address);
-        gossip::Reply {
-            known: known.collect(),
-        }
-    }
 }
 
 /// Returns the settings in the form that the replicated groups take. Processes are named by their
