Hold crowded servers back where one more request slows them down, with load replays as tests

With all slots taken a server that slows down does less work than with one slot free. Change: the slow-down of full servers is learned per route, counts as cost, and in a rush such servers take no more.

--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -14,12 +14,32 @@
 /// Work that is assumed before the first answer.
 const WORK_DEFAULT_US: u64 = 100_000;
 
+/// Answers of crowded servers after which their slowness is taken as known.
+const CROWDED_MIN_COUNT: u64 = 5;
+/// Factor that is assumed before.
+const CROWDED_DEFAULT_FACTOR: f64 = 1.3;
+/// Largest factor that is believed.
+const CROWDED_MAX_FACTOR: f64 = 2.5;
+
+/// Room that a server had when a request was placed there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// Slots stayed free.
+    Free,
+    /// It took the last slot.
+    Last,
+    /// It had to wait.
+    None,
+}
+
 /// Averages over the answers of one route.
 #[derive(Debug)]
 pub struct Estimate {
     work_us: atomic::AtomicU64,
     answer_bytes: atomic::AtomicU64,
     answers_count: atomic::AtomicU64,
+    crowded_us: atomic::AtomicU64,
+    crowded_count: atomic::AtomicU64,
     usual_wait_ms: atomic::AtomicU64,
 }
 
@@ -29,20 +49,42 @@
             work_us: atomic::AtomicU64::new(WORK_DEFAULT_US),
             answer_bytes: atomic::AtomicU64::new(0),
             answers_count: atomic::AtomicU64::new(0),
+            crowded_us: atomic::AtomicU64::new(0),
+            crowded_count: atomic::AtomicU64::new(0),
             usual_wait_ms: atomic::AtomicU64::new(0),
         }
     }
 }
 
 impl Estimate {
-    /// Notes an answer that took `span` at a server that was not crowded and whose work took
-    /// `stretch_percent` of its usual time. Answers of crowded servers would count their waiting
-    /// as work.
-    pub fn note(&self, span: clock::Millis, stretch_percent: u32, bytes: u64) {
+    /// Notes an answer that took `span` at a server whose work took `stretch_percent` of its usual
+    /// time. Answers of servers with a queue are left out, since they would count waiting as work.
+    pub fn note(&self, span: clock::Millis, stretch_percent: u32, bytes: u64, room: Room) {
+        let order = atomic::Ordering::Relaxed;
         let work_us = span.0 * 1000 * 100 / u64::from(stretch_percent.max(1));
-        let count = 1 + self.answers_count.fetch_add(1, atomic::Ordering::Relaxed);
-        blend(&self.work_us, work_us, count);
-        blend(&self.answer_bytes, bytes, count);
+        match room {
+            Room::Free => {
+                let count = 1 + self.answers_count.fetch_add(1, order);
+                blend(&self.work_us, work_us, count);
+                blend(&self.answer_bytes, bytes, count);
+            }
+            Room::Last => {
+                let count = 1 + self.crowded_count.fetch_add(1, order);
+                blend(&self.crowded_us, work_us, count);
+            }
+            Room::None => {}
+        }
+    }
+
+    /// Returns the factor by which work takes longer when all slots of a server are taken.
+    pub fn crowded_factor(&self) -> f64 {
+        let order = atomic::Ordering::Relaxed;
+        if self.crowded_count.load(order) < CROWDED_MIN_COUNT {
+            return CROWDED_DEFAULT_FACTOR;
+        }
+        let crowded = self.crowded_us.load(order) as f64;
+        let factor = crowded / self.work_us.load(order).max(1) as f64;
+        factor.clamp(1.0, CROWDED_MAX_FACTOR)
     }
 
     /// Takes the time that a caller still waits and returns how long it has waited already.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,9 +5,11 @@
 //! server or a slow VM costs a request its aim, so the prediction counts slots that are taken,
 //! the speed of the VM, the way there, and what the bytes of the answer cost on that way.
 
+use crate::estimate;
 use crate::health;
 use crate::signal;
 use nutmegdale_base::{clock, rng};
+use std::cmp;
 
 /// Age at which a report of a VM's speed tells no more than the average.
 const STRETCH_TRUST_MS: f64 = 600.0;
@@ -16,8 +18,6 @@
 const STRETCH_UNKNOWN_PERCENT: f64 = 200.0;
 /// Share of taken slots from which servers slow down.
 const CROWDED_SHARE: f64 = 0.75;
-/// Factor by which a crowded server is slower.
-const CROWDED_FACTOR: f64 = 1.5;
 /// Part by which predictions are spread, so that processes that know the same do not all pick the
 /// same server.
 const SPREAD: f64 = 0.06;
@@ -90,6 +90,8 @@
     pub work_ms: f64,
     /// Usual size of the answer in kilobytes.
     pub answer_kb: f64,
+    /// Factor by which servers are slower when all their slots are taken.
+    pub crowded_factor: f64,
 }
 
 /// Prediction for one server.
@@ -107,6 +109,27 @@
     pub busy: u32,
     /// Whether the server would still have room after this request.
     pub has_room: bool,
+    /// Requests that the server works on at once.
+    pub slots: u32,
+}
+
+impl Prediction {
+    /// Returns the room that the server had.
+    pub fn room(&self) -> estimate::Room {
+        match (self.busy + 1).cmp(&self.slots) {
+            cmp::Ordering::Less => estimate::Room::Free,
+            cmp::Ordering::Equal => estimate::Room::Last,
+            cmp::Ordering::Greater => estimate::Room::None,
+        }
+    }
+
+    /// Returns whether one more request would slow the server down so much that it does less work
+    /// than without it: with all `n` slots taken it does `n / factor`, with one free `n - 1`.
+    pub fn is_overfull(&self, need: &Need) -> bool {
+        let slots = f64::from(self.slots.max(1));
+        let taken = f64::from(self.busy + 1);
+        taken >= slots && slots > 1.0 && slots / need.crowded_factor < slots - 1.0
+    }
 }
 
 /// Factor by which a cold server is slower.
@@ -145,7 +168,7 @@
     let has_room = taken / slots <= CROWDED_SHARE;
     let mut work = need.work_ms * stretch / 100.0;
     if !has_room {
-        work *= CROWDED_FACTOR;
+        work *= need.crowded_factor;
     }
     if candidate.is_cold {
         work *= COLD_FACTOR;
@@ -160,14 +183,21 @@
         DETOUR_MS
     };
     let way_ms = way.ms + need.answer_kb * way.ms_per_kb;
-    Prediction {
+    let mut prediction = Prediction {
         answer_ms,
         cost_ms: answer_ms + way_ms + detour + failed * FAILURE_MS,
         age: last.map(|aged| aged.age),
         stretch_percent: stretch,
         busy,
         has_room,
+        slots: candidate.slots,
+    };
+    if prediction.is_overfull(&need) {
+        // The requests that run there already become slower as well.
+        let slowed = (slots - 1.0) * (need.crowded_factor - 1.0);
+        prediction.cost_ms += need.work_ms * stretch / 100.0 * slowed;
     }
+    prediction
 }
 
 /// Returns the predictions of `candidates` with their positions, the best first.
--- /dev/null
+++ b/crates/dispatch/tests/bounds.rs
@@ -0,0 +1,106 @@
+//! Bounds that all processes keep together: cold servers and second sends.
+
+use nutmegdale_base::clock;
+use nutmegdale_dispatch::{budget, cold, health};
+
+const COLD: cold::Bound = cold::Bound {
+    overshoot: 1.5,
+    slack: 5.0,
+};
+
+/// Guards against a cold server that gets more requests in some second than it bears, whatever the
+/// number of processes and however eagerly each sends.
+#[test]
+fn cold_server_is_never_sent_more_than_its_bound_in_any_second() {
+    for processes in [1_usize, 16, 20, 132, 300] {
+        for rate in [4.1, 9.5, 13.0] {
+            let names: Vec<_> = (0..processes).map(|n| format!("entry-{n}")).collect();
+            let all: Vec<_> = names
+                .iter()
+                .map(|name| cold::Process { name, zone: "a" })
+                .collect();
+            let count = COLD.holders_count(rate);
+            let paces: Vec<_> = all
+                .iter()
+                .filter(|own| cold::may_send(**own, &all, "server", "a", count))
+                .map(|_| cold::Pace::default())
+                .collect();
+            let mut sent = Vec::new();
+            for ms in 0..5_000 {
+                let now = clock::Millis(ms);
+                sent.extend(paces.iter().filter(|pace| pace.take(now)).map(|_| ms));
+            }
+            let bound = (rate * COLD.overshoot + COLD.slack) as usize;
+            for (n, start) in sent.iter().enumerate() {
+                let within = sent[n..].iter().take_while(|at| **at < start + 1_000);
+                assert!(
+                    within.count() <= bound,
+                    "{processes} processes, rate {rate}"
+                );
+            }
+            assert!(!sent.is_empty(), "a cold server must get work to warm up");
+        }
+    }
+}
+
+/// Guards against second sends beyond the bound of all processes in any window, under a flood of
+/// failures at every process.
+#[test]
+fn second_sends_stay_within_the_bound_in_any_window() {
+    let bound = budget::Bound {
+        ratio: 0.2,
+        slack: 64.0,
+        window: clock::Millis(10_000),
+    };
+    for processes in [1_usize, 16, 132] {
+        let budgets: Vec<_> = (0..processes)
+            .map(|_| budget::Budget::new(clock::Millis::ZERO, &bound, processes))
+            .collect();
+        let mut requests = Vec::new();
+        let mut sent = Vec::new();
+        for ms in (0..40_000).step_by(5) {
+            let now = clock::Millis(ms);
+            let budget = &budgets[(ms as usize / 5) % processes];
+            budget.earn(&bound, processes);
+            requests.push(ms);
+            if budget.take(now, &bound, processes) {
+                sent.push(ms);
+            }
+        }
+        let in_window = |times: &[u64], from: u64| {
+            let times = times
+                .iter()
+                .filter(|at| (from..from + 10_000).contains(*at));
+            times.count() as f64
+        };
+        for from in (0..30_000).step_by(500) {
+            let most = bound.ratio * in_window(&requests, from) + bound.slack;
+            let got = in_window(&sent, from);
+            assert!(
+                got <= most,
+                "{processes} processes from {from}: {got} of {most}"
+            );
+        }
+        assert!(sent.len() > 100, "the budget must be of use");
+    }
+}
+
+/// Guards against a server that is taken out for good, or that returns with many requests at once.
+#[test]
+fn failing_server_returns_for_one_trial_at_a_time() {
+    let health = health::Health::default();
+    let now = clock::Millis(1_000);
+    assert!(health.failed(now, health::Failure::Answer).is_none());
+    let span = health.failed(now, health::Failure::Connect);
+    let span = span.expect("a server without a connection is taken out");
+    assert!(!health.is_in(now));
+    let later = now + span;
+    assert!(health.is_in(later));
+    health.begin_trial(later);
+    assert!(
+        !health.is_in(later),
+        "a second request must not join the trial"
+    );
+    health.succeeded();
+    assert!(health.is_in(later));
+}
--- /dev/null
+++ b/crates/dispatch/tests/load.rs
@@ -0,0 +1,303 @@
+//! Replays of the worst loads: which request is admitted, refused and placed where.
+//!
+//! Servers are modelled as the contract with them describes: a few slots, a short queue, slower
+//! when full, on VMs whose speed changes twice a second. Several processes place requests without
+//! seeing each other's. Each test states what the policy must gain over a baseline.
+
+use nutmegdale_base::rng::Rng;
+use nutmegdale_base::{clock, rng};
+use nutmegdale_dispatch::{admission, health, placement, signal};
+
+const WORK_MS: f64 = 90.0;
+const CROWDED_FACTOR: f64 = 1.7;
+const AIM_MS: u64 = 250;
+const DEADLINE_MS: u64 = 800;
+const SLOTS: usize = 3;
+const QUEUE: usize = 6;
+const PROCESSES: usize = 4;
+const SERVERS: usize = 17;
+
+const WAYS: placement::Ways = {
+    let way = placement::Way {
+        rtt_ms: 1.0,
+        ms: 0.0,
+        ms_per_kb: 0.0,
+    };
+    placement::Ways {
+        zone: way,
+        region: way,
+        far: way,
+    }
+};
+
+#[derive(Clone, Copy, PartialEq)]
+enum Policy {
+    /// Servers in turn, everything admitted.
+    InTurn,
+    /// The best prediction, everything admitted.
+    PlacedOnly,
+    /// The best prediction, admitted by the decision under test.
+    Admitted,
+}
+
+struct Running {
+    process: usize,
+    left_ms: f64,
+    begun: u64,
+}
+
+struct Server {
+    running: Vec<Running>,
+    waiting: Vec<Running>,
+    stretch: f64,
+    base: f64,
+}
+
+impl Server {
+    fn report(&self) -> signal::Report {
+        signal::Report {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            slots: SLOTS as u32,
+            stretch_percent: (self.stretch * self.base * 100.0) as u32,
+        }
+    }
+}
+
+#[derive(Default, Debug)]
+struct Result {
+    in_aim: usize,
+    late: usize,
+    refused: usize,
+    failed: usize,
+}
+
+struct Load {
+    seed: u64,
+    per_s: f64,
+    /// Servers that work five times as long.
+    slow: usize,
+    /// Share of VMs that are seven times slower for a while.
+    noisy: f64,
+}
+
+fn play(load: &Load, policy: Policy) -> Result {
+    let mut rng = rng::SplitMix64::new(load.seed);
+    let mut servers: Vec<_> = (0..SERVERS)
+        .map(|n| Server {
+            running: Vec::new(),
+            waiting: Vec::new(),
+            stretch: 1.0,
+            base: if n < load.slow { 5.0 } else { 1.0 },
+        })
+        .collect();
+    let signals: Vec<Vec<signal::Signal>> = (0..PROCESSES)
+        .map(|_| (0..SERVERS).map(|_| signal::Signal::default()).collect())
+        .collect();
+    let healths: Vec<_> = (0..SERVERS).map(|_| health::Health::default()).collect();
+    let mut result = Result::default();
+    let mut turn = 0;
+    for ms in 0..20_000_u64 {
+        if ms % 500 == 0 {
+            for server in &mut servers {
+                let is_noisy = (rng.below(1_000) as f64) < load.noisy * 1_000.0;
+                server.stretch = if is_noisy { 7.0 } else { 1.0 };
+            }
+        }
+        advance(ms, &mut servers, &signals, &mut result);
+        if (rng.below(1_000_000) as f64) >= load.per_s * 1_000.0 {
+            continue;
+        }
+        let process = rng.below(PROCESSES as u64) as usize;
+        let own = &signals[process];
+        let now = clock::Millis(ms);
+        turn += 1;
+        let chosen = match policy {
+            Policy::InTurn => Some(turn % SERVERS),
+            _ => choose(now, policy, &servers, own, &healths, &mut rng),
+        };
+        let Some(n) = chosen else {
+            result.refused += 1;
+            continue;
+        };
+        let server = &mut servers[n];
+        if server.waiting.len() >= QUEUE {
+            result.refused += 1;
+            continue;
+        }
+        let spread = 0.7 + rng.below(600) as f64 / 1_000.0;
+        own[n].begin();
+        server.waiting.push(Running {
+            process,
+            left_ms: WORK_MS * spread,
+            begun: ms,
+        });
+    }
+    result
+}
+
+fn choose(
+    now: clock::Millis,
+    policy: Policy,
+    servers: &[Server],
+    own: &[signal::Signal],
+    healths: &[health::Health],
+    rng: &mut rng::SplitMix64,
+) -> Option<usize> {
+    let need = placement::Need {
+        work_ms: WORK_MS,
+        answer_kb: 1.5,
+        crowded_factor: CROWDED_FACTOR,
+    };
+    let candidates: Vec<_> = own
+        .iter()
+        .zip(healths)
+        .map(|(signal, health)| placement::Candidate {
+            signal,
+            health,
+            slots: SLOTS as u32,
+            distance: placement::Distance::Zone,
+            is_cold: false,
+            is_preferred: true,
+        })
+        .collect();
+    for _ in 0..2 {
+        let ranked = placement::rank(now, &candidates, need, &WAYS, rng);
+        for (n, _) in ranked.iter().take(3) {
+            own[*n].note(now, servers[*n].report(), own[*n].inflight());
+        }
+    }
+    let ranked = placement::rank(now, &candidates, need, &WAYS, rng);
+    let (best, prediction) = ranked.first()?;
+    let time = admission::Time {
+        to_aim: clock::Millis(AIM_MS),
+        to_deadline: clock::Millis(DEADLINE_MS),
+    };
+    let decision = admission::decide(prediction, need, time, rng);
+    let is_admitted = policy == Policy::PlacedOnly || decision == admission::Decision::Admit;
+    is_admitted.then_some(*best)
+}
+
+fn advance(ms: u64, servers: &mut [Server], signals: &[Vec<signal::Signal>], result: &mut Result) {
+    for (n, server) in servers.iter_mut().enumerate() {
+        while server.running.len() < SLOTS && !server.waiting.is_empty() {
+            let next = server.waiting.remove(0);
+            server.running.push(next);
+        }
+        let crowded = if server.running.len() == SLOTS {
+            CROWDED_FACTOR
+        } else {
+            1.0
+        };
+        let step = 1.0 / (server.stretch * server.base * crowded);
+        server.running.retain_mut(|request| {
+            request.left_ms -= step;
+            let took = ms - request.begun;
+            let is_over = request.left_ms <= 0.0 || took >= DEADLINE_MS;
+            if is_over {
+                signals[request.process][n].end();
+                match took {
+                    _ if request.left_ms > 0.0 => result.failed += 1,
+                    0..AIM_MS => result.in_aim += 1,
+                    _ => result.late += 1,
+                }
+            }
+            !is_over
+        });
+    }
+}
+
+fn share(result: &Result) -> f64 {
+    let all = result.in_aim + result.late + result.refused + result.failed;
+    result.in_aim as f64 / all as f64
+}
+
+/// Guards against a rush in which every request is admitted and nearly all are late.
+#[test]
+fn rush_keeps_most_of_what_servers_can_do_within_the_aim() {
+    let load = Load {
+        seed: 1,
+        per_s: 300.0,
+        slow: 4,
+        noisy: 0.25,
+    };
+    let in_turn = share(&play(&load, Policy::InTurn));
+    let placed = share(&play(&load, Policy::PlacedOnly));
+    let admitted = share(&play(&load, Policy::Admitted));
+    let most = in_turn.max(placed);
+    assert!(
+        admitted > most + 0.3,
+        "admitted {admitted} placed {placed} in turn {in_turn}"
+    );
+}
+
+/// Guards against noisy VMs that cost requests their aim while quiet ones have free slots.
+#[test]
+fn noise_is_avoided_at_usual_load() {
+    let load = Load {
+        seed: 2,
+        per_s: 110.0,
+        slow: 0,
+        noisy: 0.35,
+    };
+    let in_turn = share(&play(&load, Policy::InTurn));
+    let admitted = share(&play(&load, Policy::Admitted));
+    assert!(admitted > 0.9, "admitted {admitted}");
+    assert!(
+        admitted > in_turn + 0.2,
+        "admitted {admitted} in turn {in_turn}"
+    );
+}
+
+/// Guards against requests that go on to servers that have turned slow.
+#[test]
+fn half_of_the_servers_slow_leaves_the_rest_to_serve() {
+    let load = Load {
+        seed: 3,
+        per_s: 110.0,
+        slow: SERVERS / 2,
+        noisy: 0.0,
+    };
+    let in_turn = share(&play(&load, Policy::InTurn));
+    let admitted = share(&play(&load, Policy::Admitted));
+    assert!(admitted > 0.95, "admitted {admitted}");
+    assert!(
+        admitted > in_turn + 0.3,
+        "admitted {admitted} in turn {in_turn}"
+    );
+}
+
+/// Guards against a refusal that asks a caller to return too late for its aim, or after most of its
+/// time.
+#[test]
+fn refused_callers_return_while_they_can_still_be_served() {
+    let mut rng = rng::SplitMix64::new(4);
+    let best = placement::Prediction {
+        answer_ms: 400.0,
+        cost_ms: 400.0,
+        age: None,
+        stretch_percent: 100.0,
+        busy: 6,
+        has_room: false,
+        slots: SLOTS as u32,
+    };
+    let need = placement::Need {
+        work_ms: WORK_MS,
+        answer_kb: 1.0,
+        crowded_factor: CROWDED_FACTOR,
+    };
+    for _ in 0..1_000 {
+        let time = admission::Time {
+            to_aim: clock::Millis(AIM_MS),
+            to_deadline: clock::Millis(DEADLINE_MS),
+        };
+        let decision = admission::decide(&best, need, time, &mut rng);
+        let admission::Decision::Refuse { after } = decision else {
+            panic!("a request that cannot keep its aim takes no slot in a rush");
+        };
+        assert!(
+            after.0 >= 50 && after.0 + WORK_MS as u64 <= AIM_MS,
+            "{after}"
+        );
+    }
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -348,6 +348,7 @@
         let need = placement::Need {
             work_ms: self.route.estimate.work_ms(),
             answer_kb: self.route.estimate.answer_kb(),
+            crowded_factor: self.route.estimate.crowded_factor(),
         };
         let wanted = place::Wanted {
             service,
@@ -457,7 +458,7 @@
             is_one_time: !self.route.spec.class.is_idempotent(),
             deadline: call.deadline,
             predicted_ms: placed.prediction.answer_ms,
-            had_room: placed.prediction.has_room,
+            room: placed.prediction.room(),
         };
         let shared = sync::Arc::clone(call.shared);
         sendings.push(Box::pin(
@@ -517,10 +518,10 @@
             self.fallback = Some(answer);
             return self.again(is_last);
         }
-        if answer.status.is_success() && answer.had_room {
-            self.route
-                .estimate
-                .note(answer.took, answer.stretch_percent, answer.held_bytes);
+        if answer.status.is_success() {
+            let (took, stretch) = (answer.took, answer.stretch_percent);
+            let estimate = &self.route.estimate;
+            estimate.note(took, stretch, answer.held_bytes, answer.room);
         }
         Step::Done(answered(answer))
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::{body, header};
 use nutmegdale_base::{clock, outcome};
-use nutmegdale_dispatch::{health, signal};
+use nutmegdale_dispatch::{estimate, health, signal};
 use nutmegdale_rpc::listen;
 use std::pin;
 use std::sync;
@@ -50,8 +50,8 @@
     pub deadline: clock::Millis,
     /// Predicted time until the answer in milliseconds.
     pub predicted_ms: f64,
-    /// Whether the server was predicted to have room.
-    pub had_room: bool,
+    /// Room that the server was predicted to have.
+    pub room: estimate::Room,
 }
 
 /// Answer of a server.
@@ -69,8 +69,8 @@
     pub took: clock::Millis,
     /// Speed of the server's VM when it answered, in percent of its usual time.
     pub stretch_percent: u32,
-    /// Whether the server was predicted to have room.
-    pub had_room: bool,
+    /// Room that the server was predicted to have.
+    pub room: estimate::Room,
 }
 
 /// Result of one send.
@@ -282,7 +282,7 @@
         headers: head.headers,
         body,
         held_bytes,
-        had_room: send.had_room,
+        room: send.room,
         took: flight.now().since(flight.started),
         stretch_percent: last.map_or(signal::STRETCH_NORMAL_PERCENT, |aged| aged.stretch_percent),
     })
--- /dev/null
+++ b/crates/gateway/tests/front.rs
@@ -0,0 +1,120 @@
+//! The path of a request against servers that misbehave, over loopback connections.
+
+mod stub;
+
+use nutmegdale_base::class;
+use std::time;
+use stub::Behaviour;
+
+/// Guards against a retry and a hedge that together exceed the servers a request may be sent to.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retry_and_hedge_together_keep_the_bound_of_sends() {
+    let scene = stub::Scene::start(
+        class::Class::UrgentLookup,
+        &[
+            Behaviour::SlowFailure,
+            Behaviour::SlowFailure,
+            Behaviour::SlowFailure,
+        ],
+    )
+    .await;
+    for n in 0..20 {
+        let id = format!("r{n}");
+        scene.ask(&id).await;
+        assert!(
+            scene.arrivals(&id) <= 2,
+            "request {id} reached {}",
+            scene.arrivals(&id)
+        );
+    }
+}
+
+/// Guards against a one-time request that is sent again after its answer was lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_time_request_is_not_repeated_after_a_broken_answer() {
+    let behaviours = [Behaviour::BreakOff, Behaviour::BreakOff];
+    let scene = stub::Scene::start(class::Class::OneTimeFiling, &behaviours).await;
+    for n in 0..10 {
+        let id = format!("f{n}");
+        let answer = scene.ask(&id).await;
+        assert_eq!(answer.status, 502, "its outcome is unknown");
+        assert_eq!(scene.arrivals(&id), 1);
+    }
+}
+
+/// Guards against a lookup that fails although another server would have answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lookup_is_repeated_after_a_broken_answer() {
+    let behaviours = [Behaviour::BreakOff, Behaviour::Answer];
+    let scene = stub::Scene::start(class::Class::UrgentLookup, &behaviours).await;
+    for n in 0..10 {
+        let answer = scene.ask(&format!("r{n}")).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "whole answer"));
+    }
+}
+
+/// Guards against a refusal whose status promises that nothing ran although it may have, and
+/// against one without a time to return.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_of_every_server_is_passed_on_as_not_run() {
+    let behaviours = [Behaviour::Refuse, Behaviour::Refuse];
+    let scene = stub::Scene::start(class::Class::OneTimeFiling, &behaviours).await;
+    let answer = scene.ask("f").await;
+    assert_eq!(answer.status, 503);
+    assert!(
+        answer
+            .retry_after
+            .is_some_and(|secs| secs > 0.0 && secs < 1.0)
+    );
+    assert_eq!(scene.runs("f"), 0);
+}
+
+/// Guards against answers that belong to another request, lack the mark of a server's answer or
+/// are cut off, and are passed on as whole answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn spoiled_answers_reach_no_caller() {
+    for spoiled in [
+        Behaviour::OtherId,
+        Behaviour::Unsigned,
+        Behaviour::CutShort,
+        Behaviour::Encoded,
+    ] {
+        let scene = stub::Scene::start(class::Class::OneTimeFiling, &[spoiled]).await;
+        let answer = scene.ask("f").await;
+        assert_eq!(answer.status, 502, "{spoiled:?}");
+    }
+}
+
+/// Guards against a server that works on for a caller that has left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn server_is_told_when_the_caller_leaves() {
+    let scene = stub::Scene::start(class::Class::BulkExport, &[Behaviour::Hang]).await;
+    scene
+        .ask_and_leave("r", time::Duration::from_millis(200))
+        .await;
+    let cancelled = scene.cancelled("r", time::Duration::from_millis(500)).await;
+    assert!(cancelled, "the connection to the server is closed");
+}
+
+/// Guards against requests that are refused in the moment between a start and the first sync.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn early_request_waits_for_the_configuration() {
+    let scene = stub::Scene::unconfigured(class::Class::UrgentLookup, &[Behaviour::Answer]).await;
+    let (answer, ()) = tokio::join!(scene.ask("r"), async {
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        scene.configure();
+    });
+    assert_eq!(answer.status, 200);
+}
+
+/// Guards against a request that is passed on to a server that was closed to requests while the
+/// connection was made.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn closed_server_gets_no_request() {
+    let scene = stub::Scene::start(class::Class::UrgentLookup, &[Behaviour::Answer]).await;
+    assert_eq!(scene.ask("before").await.status, 200);
+    scene.take_zone_out();
+    let answer = scene.ask("after").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(scene.arrivals("after"), 0);
+}
--- /dev/null
+++ b/crates/gateway/tests/stub/mod.rs
@@ -0,0 +1,293 @@
+//! A gateway with a fixed registry, and backend servers that behave as told.
+
+mod server;
+
+use http_body_util::BodyExt;
+use hyper::header;
+use hyper_util::rt;
+use nutmegdale_base::{class, clock};
+use nutmegdale_dispatch::{budget, cold};
+use nutmegdale_gateway::{dialect, front, live, settings, table};
+use nutmegdale_registry::{config, follow, server as registry};
+use nutmegdale_rpc::listen;
+use nutmegdale_telemetry::{clock as telemetry_clock, log};
+use std::net;
+use std::sync;
+use std::time;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+pub(crate) use server::Behaviour;
+
+/// Answer that a caller got.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) status: u16,
+    pub(crate) body: String,
+    pub(crate) retry_after: Option<f64>,
+}
+
+/// Header names of the tests.
+struct Plain;
+
+impl dialect::Dialect for Plain {
+    fn request<'a>(&self, headers: &'a header::HeaderMap) -> dialect::Request<'a> {
+        dialect::Request {
+            id: headers.get("id").and_then(|id| id.to_str().ok()),
+            deadline: Some(clock::Millis(900)),
+        }
+    }
+
+    fn prepare(&self, headers: &mut header::HeaderMap, server: &str, _left: clock::Millis) {
+        let server = header::HeaderValue::from_str(server).expect("a plain name");
+        headers.insert("expected", server);
+    }
+
+    fn answer<'a>(
+        &self,
+        _status: hyper::StatusCode,
+        headers: &'a header::HeaderMap,
+    ) -> dialect::Answer<'a> {
+        dialect::Answer {
+            id: headers.get("id").and_then(|id| id.to_str().ok()),
+            is_not_run: headers.contains_key("not-run"),
+            is_signed: headers.contains_key("signed"),
+            ..dialect::Answer::default()
+        }
+    }
+
+    fn refuse(&self, _headers: &mut header::HeaderMap, _id: Option<&str>) {}
+}
+
+/// Decoder that is not used, since the tests publish tables themselves.
+struct NoCodec;
+
+impl config::Codec for NoCodec {
+    fn decode(&self, _document: &[u8]) -> Result<config::Config, config::Fault> {
+        Err(config::Fault::Unreadable("not used".to_owned()))
+    }
+}
+
+/// Gateway and its servers.
+pub(crate) struct Scene {
+    address: net::SocketAddr,
+    shared: sync::Arc<live::Shared>,
+    builder: sync::Mutex<table::Builder>,
+    copy: follow::Copy,
+    config: config::Config,
+    log: server::Log,
+    _stop: watch::Sender<bool>,
+}
+
+impl Scene {
+    /// Starts servers and a configured gateway.
+    pub(crate) async fn start(class: class::Class, behaviours: &[Behaviour]) -> Scene {
+        let scene = Scene::unconfigured(class, behaviours).await;
+        scene.configure();
+        scene
+    }
+
+    /// Starts servers and a gateway without a configuration.
+    pub(crate) async fn unconfigured(class: class::Class, behaviours: &[Behaviour]) -> Scene {
+        let log = server::Log::default();
+        let copy = registry_of(behaviours, &log).await;
+        let settings = sync::Arc::new(settings());
+        let mut builder = table::Builder::new(sync::Arc::clone(&settings));
+        let empty = builder.build(clock::Millis::ZERO, &follow::Copy::default(), None);
+        let parts = live::Parts {
+            clock: sync::Arc::new(telemetry_clock::SystemClock::start()),
+            dialect: sync::Arc::new(Plain),
+            codec: sync::Arc::new(NoCodec),
+            log: log::discard(),
+            seed: 1,
+        };
+        let shared = sync::Arc::new(live::Shared::new(settings, parts, empty));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let service = sync::Arc::new(front::Front::new(sync::Arc::clone(&shared)));
+        let (stop, stopped) = watch::channel(false);
+        let bounds = listen::Bounds::default();
+        tokio::spawn(listen::serve(
+            listener,
+            service,
+            bounds,
+            stopped,
+            clock::Millis(100),
+        ));
+        Scene {
+            address,
+            shared,
+            builder: sync::Mutex::new(builder),
+            copy,
+            config: config(class),
+            log,
+            _stop: stop,
+        }
+    }
+
+    /// Puts the configuration in force.
+    pub(crate) fn configure(&self) {
+        self.publish(&self.copy);
+    }
+
+    /// Takes the zone of the servers out of service.
+    pub(crate) fn take_zone_out(&self) {
+        let mut copy = self.copy.clone();
+        copy.zones_out.insert("zone".to_owned());
+        self.publish(&copy);
+    }
+
+    fn publish(&self, copy: &follow::Copy) {
+        let mut builder = self.builder.lock().expect("no test panicked");
+        let table = builder.build(clock::Millis(1), copy, Some(&self.config));
+        self.shared.publish(table);
+    }
+
+    /// Sends a request and reads its answer.
+    pub(crate) async fn ask(&self, id: &str) -> Answered {
+        let stream = TcpStream::connect(self.address).await.expect("a gateway");
+        let io = rt::TokioIo::new(stream);
+        let handshake = hyper::client::conn::http1::handshake(io).await;
+        let (mut sender, conn) = handshake.expect("a connection");
+        tokio::spawn(conn);
+        let req = hyper::Request::post("/path/x")
+            .header(header::HOST, "host")
+            .header("id", id)
+            .body(listen::full("body"))
+            .expect("a valid request");
+        let response = sender.send_request(req).await.expect("an answer");
+        let (head, body) = response.into_parts();
+        let retry_after = head.headers.get(header::RETRY_AFTER);
+        let body = body.collect().await.expect("a whole body").to_bytes();
+        Answered {
+            status: head.status.as_u16(),
+            body: String::from_utf8_lossy(&body).into_owned(),
+            retry_after: retry_after.and_then(|secs| secs.to_str().ok()?.parse().ok()),
+        }
+    }
+
+    /// Sends a request and closes the connection after `wait`.
+    pub(crate) async fn ask_and_leave(&self, id: &str, wait: time::Duration) {
+        let left = tokio::time::timeout(wait, self.ask(id)).await;
+        assert!(
+            left.is_err(),
+            "the request was answered before its caller left"
+        );
+    }
+
+    fn seen(&self, id: &str) -> server::Seen {
+        let log = self.log.lock().expect("no server panicked");
+        log.get(id).copied().unwrap_or_default()
+    }
+
+    /// Returns how often a request reached a server.
+    pub(crate) fn arrivals(&self, id: &str) -> usize {
+        self.seen(id).arrivals
+    }
+
+    /// Returns how often a request ran.
+    pub(crate) fn runs(&self, id: &str) -> usize {
+        self.seen(id).runs
+    }
+
+    /// Returns whether a server noticed within `wait` that nobody waits for the request.
+    pub(crate) async fn cancelled(&self, id: &str, wait: time::Duration) -> bool {
+        let step = time::Duration::from_millis(10);
+        for _ in 0..wait.as_millis() / step.as_millis() {
+            if self.seen(id).is_cancelled {
+                return true;
+            }
+            tokio::time::sleep(step).await;
+        }
+        false
+    }
+}
+
+async fn registry_of(behaviours: &[Behaviour], log: &server::Log) -> follow::Copy {
+    let mut copy = follow::Copy {
+        index: 1,
+        version: 1,
+        ..follow::Copy::default()
+    };
+    for (n, behaviour) in behaviours.iter().enumerate() {
+        let announcement = registry::Announcement {
+            id: format!("s{n}"),
+            born: 1,
+            sequence: 1,
+            service: "service".to_owned(),
+            address: server::start(*behaviour, sync::Arc::clone(log)).await,
+            zone: "zone".to_owned(),
+            slots: 4,
+            state: registry::State::Ready,
+            cold_left: clock::Millis::ZERO,
+        };
+        let known = follow::Known {
+            announcement,
+            cold_until: clock::Millis::ZERO,
+        };
+        copy.servers.insert(format!("s{n}"), known);
+    }
+    copy
+}
+
+fn settings() -> settings::Settings {
+    settings::Settings {
+        entry: follow::Entry {
+            name: "entry".to_owned(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            zone: "zone".to_owned(),
+            region: "region".to_owned(),
+        },
+        regions: [("zone".to_owned(), "region".to_owned())].into(),
+        bounds: settings::Bounds {
+            retries: budget::Bound {
+                ratio: 1.0,
+                slack: 100.0,
+                window: clock::Millis(1_000),
+            },
+            cold: cold::Bound {
+                overshoot: 1.5,
+                slack: 5.0,
+            },
+            probes_per_s: 100.0,
+            grace: clock::Millis(1_000),
+            addresses_ttl_max: clock::Millis(1_000),
+        },
+        cluster_token: "token".to_owned(),
+        connections_max_count: 100,
+    }
+}
+
+fn config(class: class::Class) -> config::Config {
+    config::Config {
+        version: 1,
+        routes: vec![config::Route {
+            name: "route".to_owned(),
+            host: "host".to_owned(),
+            prefix: "/path/".to_owned(),
+            class,
+            timeout: clock::Millis(900),
+            aim: clock::Millis(300),
+            priority: 0,
+            targets: vec![config::Target {
+                service: "service".to_owned(),
+                weight: 1.0,
+            }],
+            sends_max: 2,
+            home_regions: Vec::new(),
+        }],
+        services: vec![config::Service {
+            name: "service".to_owned(),
+            health_path: "/health".to_owned(),
+            connections_max: 100,
+            warmup: clock::Millis::ZERO,
+            cold_per_s: 10.0,
+        }],
+        listeners: config::Listeners {
+            head_max_bytes: 16_384,
+            body_max_bytes: 100_000,
+            head: clock::Millis(3_000),
+            idle: clock::Millis(15_000),
+        },
+    }
+}
