Know servers that are slower than they report, say why a request was refused, operations page

Cause: a server that turns slow reports its usual speed, so it went on getting requests until they failed; a refusal in the log named no inputs. Test: server_slower_than_it_reports_is_known_from_its_answers.

--- a/crates/catalogue/tests/docs.rs
+++ b/crates/catalogue/tests/docs.rs
@@ -1,4 +1,4 @@
-//! The catalogue that docs/operations.md shows.
+//! The catalogue that docs/OPERATIONS.md shows.
 
 use nutmegdale_catalogue::{change, config, state};
 use std::fs;
@@ -7,7 +7,7 @@
 /// Guards against documentation whose first catalogue is refused.
 #[test]
 fn first_catalogue_of_the_operations_page_is_accepted() {
-    let page = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operations.md");
+    let page = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     let page = fs::read_to_string(page).expect("page");
     let block = page.split("```\n").find(|block| block.starts_with("[\n"));
     let change = change::Change {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`run`] parses a command line, asks the listed control processes in turn and prints the answer
 //! for people or, with `--json`, for scripts. Nothing is decided here: the catalogue is checked by
 //! the control group alone. The API is described in [docs/interfaces.md](../../../docs/interfaces.md)
-//! and the commands in [docs/operations.md](../../../docs/operations.md).
+//! and the commands in [docs/OPERATIONS.md](../../../docs/OPERATIONS.md).
 
 mod args;
 mod change;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,7 +1,7 @@
 //! The daemon of nutmegdale: runs the roles that its settings name.
 //!
 //! Everything lies in the role crates; this binary reads settings, starts the runtime and passes
-//! signals on. See [docs/operations.md](../../../docs/operations.md).
+//! signals on. See [docs/OPERATIONS.md](../../../docs/OPERATIONS.md).
 
 use nutmegdale_base::clock as base_clock;
 use nutmegdale_settings::{model, read};
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -99,6 +99,8 @@
 pub struct Prediction {
     /// Time until the answer, in milliseconds.
     pub answer_ms: f64,
+    /// The same for a server that is as quick as its reports say.
+    pub reported_ms: f64,
     /// Time by which servers are compared: the above, and what the way and failures cost.
     pub cost_ms: f64,
     /// Age of the report that it rests on; `None` without a report.
@@ -175,7 +177,8 @@
     }
     let wait = (taken - slots).max(0.0) / slots * work;
     let way = ways.get(candidate.distance);
-    let answer_ms = way.rtt_ms + wait + work;
+    let reported_ms = way.rtt_ms + wait + work;
+    let answer_ms = way.rtt_ms + (wait + work) * candidate.signal.slowness(now);
     let failed = candidate.health.failed_share();
     let detour = if candidate.is_preferred {
         0.0
@@ -185,6 +188,7 @@
     let way_ms = way.ms + need.answer_kb * way.ms_per_kb;
     let mut prediction = Prediction {
         answer_ms,
+        reported_ms,
         cost_ms: answer_ms + way_ms + detour + failed * FAILURE_MS,
         age: last.map(|aged| aged.age),
         stretch_percent: stretch,
--- a/crates/dispatch/src/signal.rs
+++ b/crates/dispatch/src/signal.rs
@@ -30,6 +30,15 @@
     pub age: clock::Millis,
 }
 
+/// Time after which a server that was slow is taken to be as quick as others again.
+const SLOW_MEMORY_MS: f64 = 4_000.0;
+/// Weight of the newest answer in the slowness of a server, in percent.
+const SLOW_NEWEST_PERCENT: u64 = 40;
+/// Slowness in percent below which a server counts as usual: requests differ by as much.
+const SLOW_MIN_PERCENT: u64 = 160;
+/// Largest slowness that is believed, in percent.
+const SLOW_MAX_PERCENT: u64 = 1_000;
+
 const FIELD_BITS: u32 = 16;
 const FIELD_MASK: u64 = (1 << FIELD_BITS) - 1;
 /// Bit that tells a report from none.
@@ -44,9 +53,39 @@
     inflight: atomic::AtomicU32,
     report: atomic::AtomicU64,
     reported_ms: atomic::AtomicU64,
+    /// Time of answers relative to their prediction, in percent; 0 before the first one.
+    slow_percent: atomic::AtomicU64,
+    slow_at_ms: atomic::AtomicU64,
 }
 
 impl Signal {
+    /// Notes that an answer took `took_ms`, or was awaited for so long in vain, where
+    /// `predicted_ms` was expected of a server that is as quick as its reports say.
+    pub fn note_answer(&self, now: clock::Millis, took_ms: f64, predicted_ms: f64) {
+        let order = atomic::Ordering::Relaxed;
+        let ratio = (took_ms / predicted_ms.max(1.0) * 100.0) as u64;
+        let ratio = ratio.min(SLOW_MAX_PERCENT);
+        let old = match self.slow_percent.load(order) {
+            0 => 100,
+            old => old,
+        };
+        let new = (old * (100 - SLOW_NEWEST_PERCENT) + ratio * SLOW_NEWEST_PERCENT) / 100;
+        self.slow_percent.store(new.max(1), order);
+        self.slow_at_ms.store(now.0, order);
+    }
+
+    /// Returns the factor by which answers of the server take longer than its reports say.
+    pub fn slowness(&self, now: clock::Millis) -> f64 {
+        let order = atomic::Ordering::Relaxed;
+        let percent = self.slow_percent.load(order);
+        if percent < SLOW_MIN_PERCENT {
+            return 1.0;
+        }
+        let age = now.since(clock::Millis(self.slow_at_ms.load(order))).0 as f64;
+        let trust = (1.0 - age / SLOW_MEMORY_MS).max(0.0);
+        1.0 + (percent as f64 / 100.0 - 1.0) * trust
+    }
+
     /// Counts a request that is about to be sent.
     pub fn begin(&self) {
         self.inflight.fetch_add(1, atomic::Ordering::Relaxed);
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -274,6 +274,7 @@
     let mut rng = rng::SplitMix64::new(4);
     let best = placement::Prediction {
         answer_ms: 400.0,
+        reported_ms: 400.0,
         cost_ms: 400.0,
         age: None,
         stretch_percent: 100.0,
@@ -301,3 +302,23 @@
         );
     }
 }
+
+/// Guards against servers that go on getting requests although their answers take far longer than
+/// their reports say, and against a server that is avoided for good.
+#[test]
+fn server_slower_than_it_reports_is_known_from_its_answers() {
+    let signal = signal::Signal::default();
+    let now = clock::Millis(10_000);
+    signal.note_answer(now, 95.0, 90.0);
+    assert!((signal.slowness(now) - 1.0).abs() < f64::EPSILON);
+    for _ in 0..3 {
+        signal.note_answer(now, 450.0, 90.0);
+    }
+    assert!(signal.slowness(now) > 3.0);
+    let later = now + clock::Millis(5_000);
+    assert!((signal.slowness(later) - 1.0).abs() < f64::EPSILON);
+    for _ in 0..6 {
+        signal.note_answer(now, 90.0, 90.0);
+    }
+    assert!((signal.slowness(now) - 1.0).abs() < f64::EPSILON);
+}
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -1,6 +1,6 @@
 //! Log of what was decided on requests: one line for each request, with every send and its inputs.
 
-use crate::backend;
+use crate::{backend, place};
 use nutmegdale_base::{class, clock, outcome};
 use nutmegdale_dispatch::{health, placement};
 use nutmegdale_telemetry::limiter;
@@ -42,6 +42,26 @@
         .expect("string can be written");
     }
 
+    /// Notes that no server was picked, and what that rests on.
+    pub fn refused(&mut self, at: clock::Millis, refused: &place::Refused) {
+        let reason = refused.reason.name();
+        write!(
+            self.sends,
+            " {}:{reason} of={}",
+            at.0, refused.considered_count
+        )
+        .expect("string can be written");
+        if let Some(best) = &refused.best {
+            let age = best.age.map_or(-1, |age| age.0 as i64);
+            write!(
+                self.sends,
+                " best={:.0} age={age} speed={:.0} busy={} slots={}",
+                best.answer_ms, best.stretch_percent, best.busy, best.slots
+            )
+            .expect("string can be written");
+        }
+    }
+
     /// Notes how the last send, or the request without one, went on.
     pub fn ended(&mut self, at: clock::Millis, what: &str) {
         write!(self.sends, " {}:{what}", at.0).expect("string can be written");
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -244,7 +244,7 @@
     exchange.run(call).await
 }
 
-type Sending = pin::Pin<Box<dyn Future<Output = (usize, send::Sent)> + Send>>;
+type Sending = pin::Pin<Box<dyn Future<Output = send::Sent> + Send>>;
 
 /// Sends of one request.
 struct Exchange<'a> {
@@ -290,7 +290,7 @@
             let limit = time::Duration::from_millis(hedge_in.min(call.left()).0);
             let sent = tokio::time::timeout(limit, sendings.next()).await;
             let step = match sent {
-                Ok(Some((n, sent))) => self.take(call, n, sent, sendings.is_empty()),
+                Ok(Some(sent)) => self.take(call, sent, sendings.is_empty()),
                 Ok(None) => Step::Wait,
                 Err(_) if call.left() == clock::Millis::ZERO => {
                     call.trail.ended(call.passed(), "deadline");
@@ -361,7 +361,7 @@
             Ok(placed) => placed,
             Err(refused) => {
                 if !is_hedge {
-                    call.trail.ended(call.passed(), refused.reason.name());
+                    call.trail.refused(call.passed(), &refused);
                     self.refused = Some(refused);
                 }
                 return None;
@@ -447,7 +447,6 @@
         };
         call.trail
             .sent(call.passed(), placed.backend.id(), &placed.prediction);
-        let n = self.tried.len();
         self.tried.push(sync::Arc::clone(&placed.backend));
         self.writes_count += 1;
         let send = send::Send {
@@ -457,13 +456,10 @@
             payload,
             is_one_time: !self.route.spec.class.is_idempotent(),
             deadline: call.deadline,
-            predicted_ms: placed.prediction.answer_ms,
-            room: placed.prediction.room(),
+            prediction: placed.prediction,
         };
         let shared = sync::Arc::clone(call.shared);
-        sendings.push(Box::pin(
-            async move { (n, send::send(&shared, send).await) },
-        ));
+        sendings.push(Box::pin(async move { send::send(&shared, send).await }));
     }
 
     /// Returns the body for one more send; a body that streams can be sent once.
@@ -475,8 +471,8 @@
         Some(payload::Payload::whole(payload.held.clone()))
     }
 
-    /// Takes the result of the send to the `n`th server.
-    fn take(&mut self, call: &mut Call<'_>, n: usize, sent: send::Sent, is_last: bool) -> Step {
+    /// Takes the result of a send; `is_last` if no other one is under way.
+    fn take(&mut self, call: &mut Call<'_>, sent: send::Sent, is_last: bool) -> Step {
         match sent {
             send::Sent::Answered(answer) => {
                 call.trail.ended(call.passed(), answer.status.as_str());
@@ -487,11 +483,9 @@
                 if !was_written {
                     self.writes_count -= 1;
                 }
-                let after = clock::Millis(self.tried[n].announcement.slots.into());
-                self.refused = Some(place::Refused {
-                    reason,
-                    after: after.max(clock::Millis((self.route.estimate.work_ms() / 2.0) as u64)),
-                });
+                // By then about half of the requests that run there have ended.
+                let half = clock::Millis((self.route.estimate.work_ms() / 2.0) as u64);
+                self.refused = Some(place::Refused::new(reason, half));
                 self.again(is_last)
             }
             send::Sent::Unknown(reason) => {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -52,6 +52,22 @@
     pub reason: outcome::Reason,
     /// Time after which the caller should return.
     pub after: clock::Millis,
+    /// Prediction for the best server, if there was one.
+    pub best: Option<placement::Prediction>,
+    /// Servers that were considered.
+    pub considered_count: usize,
+}
+
+impl Refused {
+    /// Creates a refusal without a server to consider.
+    pub fn new(reason: outcome::Reason, after: clock::Millis) -> Refused {
+        Refused {
+            reason,
+            after,
+            best: None,
+            considered_count: 0,
+        }
+    }
 }
 
 type Ranked = Vec<(sync::Arc<backend::Backend>, placement::Prediction)>;
@@ -88,13 +104,17 @@
     let mut rng = shared.rng();
     let Some((_, best)) = ranked.first() else {
         let after = admission::return_after(0.0, wanted.time.to_deadline, &mut rng);
-        let reason = outcome::Reason::NoServer;
-        return Err(Refused { reason, after });
+        return Err(Refused::new(outcome::Reason::NoServer, after));
     };
+    let considered_count = ranked.len();
     let decision = admission::decide(best, wanted.need, wanted.time, &mut rng);
     if let admission::Decision::Refuse { after } = decision {
-        let reason = outcome::Reason::Overload;
-        return Err(Refused { reason, after });
+        return Err(Refused {
+            reason: outcome::Reason::Overload,
+            after,
+            best: Some(*best),
+            considered_count,
+        });
     }
     let now = shared.clock.now();
     for (backend, prediction) in ranked {
@@ -107,8 +127,10 @@
         }
     }
     let after = admission::return_after(0.0, wanted.time.to_deadline, &mut rng);
-    let reason = outcome::Reason::NoServer;
-    Err(Refused { reason, after })
+    Err(Refused {
+        considered_count,
+        ..Refused::new(outcome::Reason::NoServer, after)
+    })
 }
 
 /// Returns the servers that may get the request, the best first. Those that fail are used only if
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::{body, header};
 use nutmegdale_base::{clock, outcome};
-use nutmegdale_dispatch::{estimate, health, signal};
+use nutmegdale_dispatch::{estimate, health, placement, signal};
 use nutmegdale_rpc::listen;
 use std::pin;
 use std::sync;
@@ -48,10 +48,8 @@
     pub is_one_time: bool,
     /// End of the time for it.
     pub deadline: clock::Millis,
-    /// Predicted time until the answer in milliseconds.
-    pub predicted_ms: f64,
-    /// Room that the server was predicted to have.
-    pub room: estimate::Room,
+    /// Prediction that the choice rests on.
+    pub prediction: placement::Prediction,
 }
 
 /// Answer of a server.
@@ -91,6 +89,8 @@
     backend: sync::Arc<backend::Backend>,
     started: clock::Millis,
     patience: clock::Millis,
+    /// Predicted time of a server that is as quick as its reports say, in milliseconds.
+    reported_ms: f64,
     is_written: bool,
     is_over: bool,
 }
@@ -108,6 +108,10 @@
     fn drop(&mut self) {
         self.backend.signal.end();
         let waited = self.shared.0.clock.now().since(self.started);
+        // An answer that was not awaited to its end took at least as long.
+        if self.is_written && !self.is_over && waited.0 as f64 > self.reported_ms {
+            self.note_answer(waited);
+        }
         if self.is_written && !self.is_over && waited > self.patience {
             let failure = health::Failure::Silence;
             self.shared
@@ -120,13 +124,14 @@
 
 impl Flight {
     fn begin(shared: &sync::Arc<live::Shared>, send: &Send) -> Flight {
-        let patience = clock::Millis((send.predicted_ms * 2.0) as u64) + SILENT_MS;
+        let patience = clock::Millis((send.prediction.answer_ms * 2.0) as u64) + SILENT_MS;
         send.backend.signal.begin();
         Flight {
             shared: Holder(sync::Arc::clone(shared)),
             backend: sync::Arc::clone(&send.backend),
             started: shared.clock.now(),
             patience,
+            reported_ms: send.prediction.reported_ms,
             is_written: false,
             is_over: false,
         }
@@ -136,6 +141,11 @@
         self.shared.0.clock.now()
     }
 
+    fn note_answer(&self, took: clock::Millis) {
+        let signal = &self.backend.signal;
+        signal.note_answer(self.now(), took.0 as f64, self.reported_ms);
+    }
+
     fn failed(&mut self, failure: health::Failure) {
         self.is_over = true;
         self.shared
@@ -263,7 +273,10 @@
     flight.is_over = true;
     match head.status.is_server_error() {
         true => flight.failed(health::Failure::Answer),
-        false => send.backend.health.succeeded(),
+        false => {
+            send.backend.health.succeeded();
+            flight.note_answer(flight.now().since(flight.started));
+        }
     }
     let last = send.backend.signal.last(flight.now());
     let held_bytes = payload.held.len() as u64;
@@ -282,7 +295,7 @@
         headers: head.headers,
         body,
         held_bytes,
-        room: send.room,
+        room: send.prediction.room(),
         took: flight.now().since(flight.started),
         stretch_percent: last.map_or(signal::STRETCH_NORMAL_PERCENT, |aged| aged.stretch_percent),
     })
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`read::parse`] reports every fault of a file in one go, with its line and key, and returns an
 //! immutable [`model::Settings`] only when there is none. This crate opens no sockets and reads one
-//! file. The keys are described in [docs/operations.md](../../../docs/operations.md).
+//! file. The keys are described in [docs/OPERATIONS.md](../../../docs/OPERATIONS.md).
 
 pub mod model;
 pub mod read;
--- a/crates/settings/tests/examples.rs
+++ b/crates/settings/tests/examples.rs
@@ -1,4 +1,4 @@
-//! The example settings that docs/operations.md points to.
+//! The example settings that docs/OPERATIONS.md points to.
 
 use nutmegdale_settings::read;
 use std::fs;
@@ -24,7 +24,7 @@
 #[test]
 fn every_key_of_the_examples_is_on_the_operations_page() {
     let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let page = fs::read_to_string(root.join("docs/operations.md")).expect("page");
+    let page = fs::read_to_string(root.join("docs/OPERATIONS.md")).expect("page");
     for name in ["single", "entry", "control"] {
         let path = root.join(format!("examples/settings/{name}.ini"));
         let text = fs::read_to_string(path).expect("example is text");
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions never read the machine's clock or write logs; the services at the edge pass the clock
 //! of [`clock`] in and log what the decisions return. Field names of log lines are stable and
-//! listed in [docs/operations.md](../../../docs/operations.md).
+//! listed in [docs/OPERATIONS.md](../../../docs/OPERATIONS.md).
 
 pub mod clock;
 pub mod failures;
