--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -5,8 +5,6 @@
 
 /// Time left that no answer can use: the way back to the caller and the answer's transfer.
 const MARGIN_MS: f64 = 10.0;
-/// Part of its work by which a request commonly takes longer than usual.
-const WORK_SPREAD: f64 = 0.3;
 /// Longest time after which a refused caller is asked to return.
 const RETURN_MAX_MS: f64 = 1_000.0;
 /// Shortest time after which a refused caller is asked to return.
@@ -49,8 +47,7 @@
     rng: &mut dyn rng::Rng,
 ) -> Decision {
     let answer_ms = best.answer_ms + MARGIN_MS;
-    let spread_ms = need.work_ms * WORK_SPREAD;
-    let is_in_aim = answer_ms + spread_ms <= time.to_aim.0 as f64 && !best.is_overfull(&need);
+    let is_in_aim = answer_ms <= time.to_aim.0 as f64;
     let is_in_time = answer_ms <= time.to_deadline.0 as f64;
     if is_in_aim || (is_in_time && best.has_room) {
         return Decision::Admit;
