Give up connections between processes after 300 ms, and ask for news only once a leader is known

Cause: after all machines of the grown site lost power, the new leader's first connections went to machines that were still dark and hung for a second, so followers started elections again; replicas that had applied nothing yet took every announcement of 300 servers for news; each change of the registry hashed 132 names for 300 servers.

--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -3,7 +3,7 @@
 use crate::{calls, entries, gossip, machine, metrics};
 use displaydoc::Display;
 use nutmegdale_base::clock;
-use nutmegdale_consensus::status;
+use nutmegdale_consensus::{status, types};
 use nutmegdale_registry::{config, follow, server, state};
 use nutmegdale_replica::handle;
 use nutmegdale_rpc::client;
@@ -169,6 +169,9 @@
     /// As [`Operations::propose`].
     pub async fn announce(&self, announcement: server::Announcement) -> Result<()> {
         self.note_alive(&announcement.id);
+        // A replica that has just started knows no server until a leader tells what is committed;
+        // by then every announcement would look like news.
+        self.wait_for_leader().await;
         if !self.shared.is_news(&announcement) {
             return Ok(());
         }
@@ -237,7 +240,10 @@
     async fn wait_for_leader(&self) {
         let mut status = self.handle.subscribe();
         let limit = time::Duration::from_millis(LEADER_MS);
-        let known = status.wait_for(|status| status.leader.is_some());
+        let is_known = |status: &sync::Arc<status::Status>| {
+            status.leader.is_some() && status.commit > types::Index(0)
+        };
+        let known = status.wait_for(is_known);
         // Without a leader the call fails on its own.
         drop(tokio::time::timeout(limit, known).await);
     }
--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -5,7 +5,8 @@
 //! processes with the highest rank for the server send at most one request a second each, and as
 //! many processes have a rank as the bound allows.
 
-use nutmegdale_base::clock;
+use nutmegdale_base::rng::Rng;
+use nutmegdale_base::{clock, rng};
 use std::hash::Hasher;
 use std::sync::atomic;
 
@@ -33,36 +34,41 @@
     }
 }
 
-/// Process as the ranking sees it.
+/// Process or server as the ranking sees it: its zone and a hash of its name, which is worked out
+/// once, since every change of the registry ranks all processes for all servers.
 #[derive(Debug, Clone, Copy)]
-pub struct Process<'a> {
-    /// Name.
-    pub name: &'a str,
+pub struct Ranked<'a> {
     /// Zone.
     pub zone: &'a str,
+    hash: u64,
 }
 
-fn rank(process: Process<'_>, server: &str, zone: &str) -> (bool, u64) {
-    // The standard library's hasher has fixed keys here, so that every process ranks alike.
-    let mut hasher = std::collections::hash_map::DefaultHasher::new();
-    hasher.write(process.name.as_bytes());
-    hasher.write(server.as_bytes());
-    (process.zone != zone, hasher.finish())
+impl<'a> Ranked<'a> {
+    /// Creates the view of a process or server.
+    pub fn new(name: &str, zone: &'a str) -> Ranked<'a> {
+        // The standard library's hasher has fixed keys here, so that every process ranks alike.
+        let mut hasher = std::collections::hash_map::DefaultHasher::new();
+        hasher.write(name.as_bytes());
+        Ranked {
+            zone,
+            hash: hasher.finish(),
+        }
+    }
+}
+
+fn rank(process: &Ranked<'_>, server: &Ranked<'_>) -> (bool, u64) {
+    let mixed = rng::SplitMix64::new(process.hash ^ server.hash).next_u64();
+    (process.zone != server.zone, mixed)
 }
 
-/// Returns whether `own` is among the `count` processes that may send to a cold server in `zone`.
-pub fn may_send(
-    own: Process<'_>,
-    others: &[Process<'_>],
-    server: &str,
-    zone: &str,
-    count: usize,
-) -> bool {
-    let mine = rank(own, server, zone);
-    let before = others
-        .iter()
-        .filter(|other| other.name != own.name && rank(**other, server, zone) < mine);
-    before.count() < count
+/// Returns whether `own` is among the `count` processes that may send to a cold server. `all` may
+/// hold `own`.
+pub fn may_send(own: &Ranked<'_>, all: &[Ranked<'_>], server: &Ranked<'_>, count: usize) -> bool {
+    let mine = rank(own, server);
+    all.iter()
+        .filter(|other| rank(other, server) < mine)
+        .count()
+        < count
 }
 
 /// Pace of one process to one server.
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -1,6 +1,6 @@
 //! What the requests of one route need, learned from answers.
 
-use nutmegdale_base::clock;
+use nutmegdale_base::{class, clock};
 use std::cmp;
 use std::sync::atomic;
 
@@ -43,20 +43,28 @@
     usual_wait_ms: atomic::AtomicU64,
 }
 
-impl Default for Estimate {
-    fn default() -> Estimate {
+/// Size of an answer that is assumed before the first one, in bytes.
+const ANSWER_DEFAULT_BYTES: u64 = 4_000;
+/// The same for bulk exports, whose first answers should not travel far either.
+const BULK_DEFAULT_BYTES: u64 = 60_000;
+
+impl Estimate {
+    /// Creates the estimate of a route of which nothing is known but its class.
+    pub fn new(class: class::Class) -> Estimate {
+        let answer_bytes = match class {
+            class::Class::BulkExport => BULK_DEFAULT_BYTES,
+            _ => ANSWER_DEFAULT_BYTES,
+        };
         Estimate {
             work_us: atomic::AtomicU64::new(WORK_DEFAULT_US),
-            answer_bytes: atomic::AtomicU64::new(0),
+            answer_bytes: atomic::AtomicU64::new(answer_bytes),
             answers_count: atomic::AtomicU64::new(0),
             crowded_us: atomic::AtomicU64::new(0),
             crowded_count: atomic::AtomicU64::new(0),
             usual_wait_ms: atomic::AtomicU64::new(0),
         }
     }
-}
 
-impl Estimate {
     /// Notes an answer that took `span` at a server whose work took `stretch_percent` of its usual
     /// time. Answers of servers with a queue are left out, since they would count waiting as work.
     pub fn note(&self, span: clock::Millis, stretch_percent: u32, bytes: u64, room: Room) {
--- a/crates/dispatch/tests/bounds.rs
+++ b/crates/dispatch/tests/bounds.rs
@@ -17,12 +17,13 @@
             let names: Vec<_> = (0..processes).map(|n| format!("entry-{n}")).collect();
             let all: Vec<_> = names
                 .iter()
-                .map(|name| cold::Process { name, zone: "a" })
+                .map(|name| cold::Ranked::new(name, "a"))
                 .collect();
+            let server = cold::Ranked::new("server", "a");
             let count = COLD.holders_count(rate);
             let paces: Vec<_> = all
                 .iter()
-                .filter(|own| cold::may_send(**own, &all, "server", "a", count))
+                .filter(|own| cold::may_send(own, &all, &server, count))
                 .map(|_| cold::Pace::default())
                 .collect();
             let mut sent = Vec::new();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -21,7 +21,7 @@
 const IDLE_DEFAULT_MS: clock::Millis = clock::Millis(4_000);
 /// Part of a stated idle limit that is used, in percent, since the limit is in whole seconds and
 /// the last bytes were on their way for a while.
-const IDLE_USED_PERCENT: u64 = 60;
+const IDLE_USED_PERCENT: u64 = 80;
 /// Longest time to establish a connection.
 const CONNECT_MS: clock::Millis = clock::Millis(500);
 /// Time after which bytes that the server's host does not acknowledge end the connection.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -50,7 +50,7 @@
     },
     far: placement::Way {
         rtt_ms: 17.0,
-        ms: 45.0,
+        ms: 60.0,
         ms_per_kb: 8.0,
     },
 };
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -248,7 +248,8 @@
         backends.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
         for backend in &backends {
             let announcement = &backend.announcement;
-            let may = cold::may_send(own, &others, &announcement.id, &announcement.zone, holders);
+            let server = cold::Ranked::new(&announcement.id, &announcement.zone);
+            let may = cold::may_send(&own, &others, &server, holders);
             backend.set_cold_holder(may);
             backend.pool.set_share(share);
         }
@@ -280,7 +281,9 @@
             targets.push(*position);
             sums.push(sum);
         }
-        let estimate = self.estimates.entry(spec.name.clone()).or_default();
+        let estimate = self.estimates.entry(spec.name.clone());
+        let estimate =
+            estimate.or_insert_with(|| sync::Arc::new(estimate::Estimate::new(spec.class)));
         let own = &self.settings.entry.name;
         let turns = self.turns.entry(spec.name.clone()).or_insert_with(|| {
             let mut hasher = collections::hash_map::DefaultHasher::new();
@@ -297,11 +300,8 @@
     }
 }
 
-fn cold_process(entry: &follow::Entry) -> cold::Process<'_> {
-    cold::Process {
-        name: &entry.name,
-        zone: &entry.zone,
-    }
+fn cold_process(entry: &follow::Entry) -> cold::Ranked<'_> {
+    cold::Ranked::new(&entry.name, &entry.zone)
 }
 
 /// Marks the servers that this process goes to first: for each distance the same number, spread so
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -15,6 +15,9 @@
 
 type Sender = http1::SendRequest<http_body_util::Full<Bytes>>;
 
+/// Longest time to establish a connection. A peer without power does not answer, and the first
+/// packet is sent again only after a second; by then a peer that has just started waits for nothing.
+const CONNECT_MS: clock::Millis = clock::Millis(300);
 /// Idle connections kept per peer.
 const IDLE_MAX_COUNT: usize = 4;
 
@@ -133,9 +136,10 @@
             }
         }
         let not_sent = |err: &dyn std::error::Error| error::Error::NotSent(err.to_string());
-        let stream = TcpStream::connect(peer)
-            .await
-            .map_err(|err| not_sent(&err))?;
+        let limit = time::Duration::from_millis(CONNECT_MS.0);
+        let connected = tokio::time::timeout(limit, TcpStream::connect(peer)).await;
+        let stream = connected.map_err(|err| not_sent(&err))?;
+        let stream = stream.map_err(|err| not_sent(&err))?;
         stream.set_nodelay(true).map_err(|err| not_sent(&err))?;
         let io = hyper_util::rt::TokioIo::new(stream);
         let (sender, conn) = http1::handshake(io).await.map_err(|err| not_sent(&err))?;
