--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -16,9 +16,11 @@
 
 /// Time for a request whose caller states none.
 const DEADLINE_DEFAULT_MS: clock::Millis = clock::Millis(30_000);
-/// Time to wait for a configuration after a start, and after which a caller should return without
-/// one: a group whose members all start has a leader by then.
-const CONFIGURED_MS: clock::Millis = clock::Millis(400);
+/// Longest time to wait for a configuration after a start, but never more than a third of the time
+/// that the caller has: a group whose members all start has a leader by then.
+const CONFIGURED_MS: clock::Millis = clock::Millis(1_000);
+/// Time after which a caller should return that came before the configuration.
+const RETURN_MS: clock::Millis = clock::Millis(400);
 /// Time before the deadline at which the final answer is made, so that it still arrives.
 const MARGIN_MS: clock::Millis = clock::Millis(8);
 /// Factor on the usual work after which an answer is late enough for a second send.
@@ -133,7 +135,7 @@
     };
     let decided = match route {
         _ if table.version == 0 => {
-            let after = Some(CONFIGURED_MS);
+            let after = Some(RETURN_MS.min(clock::Millis(given.0 / 3)));
             call.not_run(outcome::Reason::ConfigLease, after)
         }
         None => {
