--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -66,7 +66,7 @@
 
 /// Returns the time after which there will be room, given the time until the best server is free.
 ///
-/// Callers are spread over half of that time again ([`SPREAD_MAX`]), so that those refused together do not return
+/// Callers are spread over half of that time again, so that those refused together do not return
 /// together, and nobody is sent away for longer than a third of the time that it has left.
 pub fn return_after(free_ms: f64, left: clock::Millis, rng: &mut dyn rng::Rng) -> clock::Millis {
     let spread = 1.0 + rng.below(500) as f64 / 1_000.0;
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,342 @@
+//! The sends of one request: retries and hedges.
+//!
+//! Invariants: a request is written to no more servers than its route allows, a one-time request
+//! to another one only if the last stated that it has not run, and second sends stay within the
+//! budget of their service.
+
+use crate::{backend, call, live, metrics, payload, place, send, table};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use nutmegdale_base::{class, clock, outcome};
+use nutmegdale_dispatch::{admission, placement};
+use nutmegdale_entry::head;
+use std::pin;
+use std::sync;
+use std::time;
+
+/// Factor on the usual work after which an answer is late enough for a second send.
+const HEDGE_WORK_FACTOR: f64 = 1.35;
+/// Speed up to which a server is quick enough for a second send, in percent of the usual time.
+const HEDGE_SPEED_PERCENT: f64 = 180.0;
+
+/// Request to send.
+pub(crate) struct Request<'a> {
+    /// Its route.
+    pub(crate) route: &'a table::Route,
+    /// Name of the service that serves it.
+    pub(crate) service: String,
+    /// Its head.
+    pub(crate) head: send::Head,
+    /// Its body.
+    pub(crate) payload: payload::Payload,
+    /// Time that the caller waited before this attempt.
+    pub(crate) waited: clock::Millis,
+}
+
+type Sending = pin::Pin<Box<dyn Future<Output = send::Sent> + Send>>;
+
+/// Sends of one request.
+pub(crate) struct Exchange<'a> {
+    route: &'a table::Route,
+    /// Service that serves it; second sends stay there.
+    name: String,
+    head: sync::Arc<send::Head>,
+    /// Whether it may be sent again after it may have run.
+    is_repeatable: bool,
+    payload: Option<payload::Payload>,
+    tried: Vec<sync::Arc<backend::Backend>>,
+    writes_count: u32,
+    /// Failure that a server answered, in case that no other answer comes.
+    fallback: Option<send::Answer>,
+    /// Why it is not known whether a send ran.
+    lost: Option<outcome::Reason>,
+    refused: Option<place::Refused>,
+    hedged: bool,
+    /// Time that the caller waited before this attempt.
+    waited: clock::Millis,
+}
+
+/// How a request goes on.
+enum Step {
+    /// With the sends under way.
+    Wait,
+    /// With one more send.
+    Again,
+    /// It is decided.
+    Done(call::Final),
+}
+
+impl<'a> Exchange<'a> {
+    /// Creates the exchange of a request that was sent to no server yet.
+    pub(crate) fn new(request: Request<'a>) -> Exchange<'a> {
+        let is_idempotent = request.route.spec.class.is_idempotent();
+        Exchange {
+            route: request.route,
+            name: request.service,
+            head: sync::Arc::new(request.head),
+            is_repeatable: is_idempotent && request.payload.rest.is_none(),
+            payload: Some(request.payload),
+            tried: Vec::new(),
+            writes_count: 0,
+            fallback: None,
+            lost: None,
+            refused: None,
+            hedged: false,
+            waited: request.waited,
+        }
+    }
+
+    /// Sends the request, again where that is allowed, and returns its final answer.
+    pub(crate) async fn run(mut self, call: &mut call::Call<'_>) -> call::Final {
+        let mut sendings: FuturesUnordered<Sending> = FuturesUnordered::new();
+        let mut hedge_at = self.start(call, &mut sendings, false).await;
+        loop {
+            if sendings.is_empty() {
+                return self.settle(call);
+            }
+            let now = call.shared.clock.now();
+            let hedge_in = hedge_at.map_or(call.left(), |at| at.since(now));
+            let limit = time::Duration::from_millis(hedge_in.min(call.left()).0);
+            let sent = tokio::time::timeout(limit, sendings.next()).await;
+            let step = match sent {
+                Ok(Some(sent)) => self.take(call, sent, sendings.is_empty()),
+                Ok(None) => Step::Wait,
+                Err(_) if call.left() == clock::Millis::ZERO => {
+                    call.trail.ended(call.passed(), "deadline");
+                    self.lost = Some(outcome::Reason::Deadline);
+                    return self.settle(call);
+                }
+                Err(_) => {
+                    self.hedged = true;
+                    hedge_at = None;
+                    self.start(call, &mut sendings, true).await;
+                    Step::Wait
+                }
+            };
+            match step {
+                Step::Wait => {}
+                Step::Done(decided) => return decided,
+                Step::Again => {
+                    let at = self.start(call, &mut sendings, false).await;
+                    hedge_at = hedge_at.or(at);
+                }
+            }
+        }
+    }
+
+    /// Decides the request once no send is under way.
+    fn settle(self, call: &call::Call<'_>) -> call::Final {
+        if let Some(answer) = self.fallback {
+            return answered(answer);
+        }
+        if let Some(reason) = self.lost {
+            return call.unknown(reason);
+        }
+        let (reason, after) = match self.refused {
+            Some(refused) => (refused.reason, Some(refused.after)),
+            None => (outcome::Reason::NoServer, None),
+        };
+        call.not_run(reason, after)
+    }
+
+    /// Starts one more send, if a server and the budget allow; returns when a hedge is due.
+    async fn start(
+        &mut self,
+        call: &mut call::Call<'_>,
+        sendings: &mut FuturesUnordered<Sending>,
+        is_hedge: bool,
+    ) -> Option<clock::Millis> {
+        if self.writes_count >= self.route.spec.sends_max {
+            return None;
+        }
+        let shared = call.shared;
+        // What is in force may have changed since the request came.
+        let table = shared.table.load_full();
+        let position = table.services.iter().position(|s| s.spec.name == self.name);
+        let service = position?;
+        let need = placement::Need {
+            work_ms: self.route.estimate.work_ms(),
+            answer_kb: self.route.estimate.answer_kb(),
+            crowded_factor: self.route.estimate.crowded_factor(),
+        };
+        let wanted = place::Wanted {
+            service,
+            need,
+            homes: &self.route.spec.home_regions,
+            tried: &self.tried,
+            time: self.time(call),
+        };
+        let placed = match place::place(shared, &table, &wanted).await {
+            Ok(placed) => placed,
+            Err(refused) => {
+                if !is_hedge {
+                    call.trail.refused(call.passed(), &refused);
+                    self.refused = Some(refused);
+                }
+                return None;
+            }
+        };
+        if is_hedge && !self.is_worth_hedging(&placed, call) {
+            return None;
+        }
+        if self.writes_count > 0 && !self.spend(shared, &table, service) {
+            return None;
+        }
+        if self.writes_count > 0 {
+            metrics::count(match is_hedge {
+                true => &shared.metrics.hedges,
+                false => &shared.metrics.retries,
+            });
+        }
+        let hedge_at = self.hedge_at(call, &placed.prediction);
+        self.send(call, sendings, placed);
+        hedge_at
+    }
+
+    fn time(&self, call: &call::Call<'_>) -> admission::Time {
+        let passed = self.waited + call.passed();
+        admission::Time {
+            to_aim: self.route.spec.aim.since(passed),
+            to_deadline: call.left(),
+        }
+    }
+
+    fn is_worth_hedging(&self, placed: &place::Placed, call: &call::Call<'_>) -> bool {
+        let prediction = &placed.prediction;
+        prediction.stretch_percent <= HEDGE_SPEED_PERCENT
+            && prediction.busy < placed.backend.announcement.slots
+            && prediction.answer_ms < call.left().0 as f64
+            && !placed.backend.is_cold(call.shared.clock.now())
+    }
+
+    fn spend(&self, shared: &live::Shared, table: &table::Table, service: usize) -> bool {
+        let bound = &shared.settings.bounds.retries;
+        let budget = &table.services[service].budget;
+        let may = budget.take(shared.clock.now(), bound, table.processes_count());
+        if !may {
+            metrics::count(&shared.metrics.over_budget);
+        }
+        may
+    }
+
+    /// Returns when a second send is due: as late as it can still keep the aim, but not before the
+    /// first one is later than usual.
+    fn hedge_at(
+        &self,
+        call: &call::Call<'_>,
+        prediction: &placement::Prediction,
+    ) -> Option<clock::Millis> {
+        let may = self.is_repeatable
+            && !self.hedged
+            && self.writes_count + 1 < self.route.spec.sends_max
+            && self.route.spec.class != class::Class::OneTimeFiling;
+        if !may {
+            return None;
+        }
+        let work = self.route.estimate.work_ms();
+        let aim = self.route.spec.aim.0 as f64;
+        let passed = self.waited + call.passed();
+        let last = aim - passed.0 as f64 - work - call::MARGIN_MS.0 as f64;
+        let usual = work * HEDGE_WORK_FACTOR;
+        let wait = match last >= usual {
+            true => last,
+            false => usual.max(prediction.answer_ms),
+        };
+        Some(call.shared.clock.now() + clock::Millis(wait as u64))
+    }
+
+    fn send(
+        &mut self,
+        call: &mut call::Call<'_>,
+        sendings: &mut FuturesUnordered<Sending>,
+        placed: place::Placed,
+    ) {
+        let Some(payload) = self.next_payload() else {
+            return;
+        };
+        call.trail
+            .sent(call.passed(), placed.backend.id(), &placed.prediction);
+        self.tried.push(sync::Arc::clone(&placed.backend));
+        self.writes_count += 1;
+        let send = send::Send {
+            backend: placed.backend,
+            head: sync::Arc::clone(&self.head),
+            id: sync::Arc::clone(&call.id),
+            payload,
+            is_one_time: !self.route.spec.class.is_idempotent(),
+            deadline: call.deadline,
+            prediction: placed.prediction,
+        };
+        let shared = sync::Arc::clone(call.shared);
+        sendings.push(Box::pin(async move { send::send(&shared, send).await }));
+    }
+
+    /// Returns the body for one more send; a body that streams can be sent once.
+    fn next_payload(&mut self) -> Option<payload::Payload> {
+        let payload = self.payload.as_ref()?;
+        if payload.rest.is_some() {
+            return self.payload.take();
+        }
+        Some(payload::Payload::whole(payload.held.clone()))
+    }
+
+    /// Takes the result of a send; `is_last` if no other one is under way.
+    fn take(&mut self, call: &mut call::Call<'_>, sent: send::Sent, is_last: bool) -> Step {
+        match sent {
+            send::Sent::Answered(answer) => {
+                call.trail.ended(call.passed(), answer.status.as_str());
+                self.take_answer(answer, is_last)
+            }
+            send::Sent::NotRun(reason, was_written) => {
+                call.trail.ended(call.passed(), reason.name());
+                if !was_written {
+                    self.writes_count -= 1;
+                }
+                // By then about half of the requests that run there have ended.
+                let half = clock::Millis((self.route.estimate.work_ms() / 2.0) as u64);
+                self.refused = Some(place::Refused::new(reason, half));
+                self.again(is_last)
+            }
+            send::Sent::Unknown(reason) => {
+                call.trail.ended(call.passed(), reason.name());
+                self.lost = Some(reason);
+                match self.is_repeatable {
+                    true => self.again(is_last),
+                    false => Step::Wait,
+                }
+            }
+        }
+    }
+
+    fn again(&self, is_last: bool) -> Step {
+        let is_allowed = self.writes_count < self.route.spec.sends_max && self.payload.is_some();
+        match is_last && is_allowed {
+            true => Step::Again,
+            false => Step::Wait,
+        }
+    }
+
+    fn take_answer(&mut self, answer: send::Answer, is_last: bool) -> Step {
+        if answer.status.is_server_error() && self.is_repeatable {
+            self.fallback = Some(answer);
+            return self.again(is_last);
+        }
+        if answer.status.is_success() {
+            let (took, stretch) = (answer.took, answer.stretch_percent);
+            let estimate = &self.route.estimate;
+            estimate.note(took, stretch, answer.held_bytes, answer.room);
+        }
+        Step::Done(answered(answer))
+    }
+}
+
+fn answered(answer: send::Answer) -> call::Final {
+    let mut response = hyper::Response::new(answer.body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    head::strip_hop_headers(response.headers_mut());
+    call::Final {
+        response,
+        outcome: outcome::Outcome::Answered,
+    }
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,16 +1,12 @@
 //! The path of a request, from its head to its outcome.
 
-use crate::{backend, decisions, live, metrics, payload, place, send, table};
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
+use crate::{call, decisions, exchange, live, payload, send, table};
 use hyper::{body, header};
-use nutmegdale_base::{class, clock, outcome};
-use nutmegdale_dispatch::{admission, placement};
+use nutmegdale_base::{clock, outcome};
 use nutmegdale_entry::head;
 use nutmegdale_registry::config;
 use nutmegdale_rpc::listen;
 use std::net;
-use std::pin;
 use std::sync;
 use std::time;
 
@@ -21,12 +17,6 @@
 const CONFIGURED_MS: clock::Millis = clock::Millis(1_000);
 /// Time after which a caller should return that came before the configuration.
 const RETURN_MS: clock::Millis = clock::Millis(400);
-/// Time before the deadline at which the final answer is made, so that it still arrives.
-const MARGIN_MS: clock::Millis = clock::Millis(8);
-/// Factor on the usual work after which an answer is late enough for a second send.
-const HEDGE_WORK_FACTOR: f64 = 1.35;
-/// Speed up to which a server is quick enough for a second send, in percent of the usual time.
-const HEDGE_SPEED_PERCENT: f64 = 180.0;
 
 /// Service for callers.
 #[allow(missing_debug_implementations)] // Holds trait objects.
@@ -52,63 +42,6 @@
     }
 }
 
-/// Request that is being served.
-struct Call<'a> {
-    shared: &'a sync::Arc<live::Shared>,
-    started: clock::Millis,
-    deadline: clock::Millis,
-    id: sync::Arc<str>,
-    trail: decisions::Trail,
-}
-
-/// Final answer of a request.
-struct Final {
-    response: hyper::Response<listen::Body>,
-    outcome: outcome::Outcome,
-}
-
-impl Call<'_> {
-    fn passed(&self) -> clock::Millis {
-        self.shared.clock.now().since(self.started)
-    }
-
-    fn left(&self) -> clock::Millis {
-        self.deadline.since(self.shared.clock.now())
-    }
-
-    fn refuse(
-        &self,
-        status: hyper::StatusCode,
-        outcome: outcome::Outcome,
-        after: Option<clock::Millis>,
-    ) -> Final {
-        let mut response = hyper::Response::new(listen::full(""));
-        *response.status_mut() = status;
-        let headers = response.headers_mut();
-        self.shared.dialect.refuse(headers, Some(&self.id));
-        if let Some(after) = after {
-            let secs = format!("{:.3}", after.0 as f64 / 1000.0);
-            if let Ok(value) = header::HeaderValue::from_str(&secs) {
-                headers.insert(header::RETRY_AFTER, value);
-            }
-        }
-        Final { response, outcome }
-    }
-
-    fn not_run(&self, reason: outcome::Reason, after: Option<clock::Millis>) -> Final {
-        let outcome = outcome::Outcome::NotRun(reason);
-        self.refuse(hyper::StatusCode::SERVICE_UNAVAILABLE, outcome, after)
-    }
-
-    fn unknown(&self, reason: outcome::Reason) -> Final {
-        let status = match reason {
-            outcome::Reason::Deadline => hyper::StatusCode::GATEWAY_TIMEOUT,
-            _ => hyper::StatusCode::BAD_GATEWAY,
-        };
-        self.refuse(status, outcome::Outcome::Unknown(reason), None)
-    }
-}
-
 async fn answer(
     shared: &sync::Arc<live::Shared>,
     req: hyper::Request<body::Incoming>,
@@ -126,10 +59,10 @@
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
     let route = table.route(host_name(host), req.uri().path());
     let wait = route.map_or(given, |route| given.min(route.spec.timeout));
-    let mut call = Call {
+    let mut call = call::Call {
         shared,
         started,
-        deadline: started + clock::Millis(wait.since(MARGIN_MS).0),
+        deadline: started + clock::Millis(wait.since(call::MARGIN_MS).0),
         id: said.id.unwrap_or("").into(),
         trail: decisions::Trail::default(),
     };
@@ -159,11 +92,11 @@
 }
 
 fn finish(
-    call: &Call<'_>,
+    call: &call::Call<'_>,
     table: &table::Table,
     route: Option<&config::Route>,
     given: clock::Millis,
-    decided: Final,
+    decided: call::Final,
 ) -> hyper::Response<listen::Body> {
     let took = call.passed();
     let class = route.map(|route| route.class);
@@ -194,12 +127,12 @@
 
 /// Reads the body and serves the request.
 async fn serve(
-    call: &mut Call<'_>,
+    call: &mut call::Call<'_>,
     table: &table::Table,
     route: &table::Route,
     req: hyper::Request<body::Incoming>,
     given: clock::Millis,
-) -> Final {
+) -> call::Final {
     let (parts, incoming) = req.into_parts();
     let most = table
         .listeners
@@ -229,307 +162,12 @@
     let service = &table.services[route.next_service()];
     let retries = &call.shared.settings.bounds.retries;
     service.budget.earn(retries, table.processes_count());
-    let exchange = Exchange {
+    let request = exchange::Request {
         route,
-        name: service.spec.name.clone(),
-        head: sync::Arc::new(head),
-        is_repeatable: route.spec.class.is_idempotent() && payload.rest.is_none(),
-        payload: Some(payload),
-        tried: Vec::new(),
-        writes_count: 0,
-        fallback: None,
-        lost: None,
-        refused: None,
-        hedged: false,
+        service: service.spec.name.clone(),
+        head,
+        payload,
         waited: route.estimate.waited(given),
     };
-    exchange.run(call).await
-}
-
-type Sending = pin::Pin<Box<dyn Future<Output = send::Sent> + Send>>;
-
-/// Sends of one request.
-struct Exchange<'a> {
-    route: &'a table::Route,
-    /// Service that serves it; second sends stay there.
-    name: String,
-    head: sync::Arc<send::Head>,
-    /// Whether it may be sent again after it may have run.
-    is_repeatable: bool,
-    payload: Option<payload::Payload>,
-    tried: Vec<sync::Arc<backend::Backend>>,
-    writes_count: u32,
-    /// Failure that a server answered, in case that no other answer comes.
-    fallback: Option<send::Answer>,
-    /// Why it is not known whether a send ran.
-    lost: Option<outcome::Reason>,
-    refused: Option<place::Refused>,
-    hedged: bool,
-    /// Time that the caller waited before this attempt.
-    waited: clock::Millis,
-}
-
-/// How a request goes on.
-enum Step {
-    /// With the sends under way.
-    Wait,
-    /// With one more send.
-    Again,
-    /// It is decided.
-    Done(Final),
-}
-
-impl Exchange<'_> {
-    async fn run(mut self, call: &mut Call<'_>) -> Final {
-        let mut sendings: FuturesUnordered<Sending> = FuturesUnordered::new();
-        let mut hedge_at = self.start(call, &mut sendings, false).await;
-        loop {
-            if sendings.is_empty() {
-                return self.settle(call);
-            }
-            let now = call.shared.clock.now();
-            let hedge_in = hedge_at.map_or(call.left(), |at| at.since(now));
-            let limit = time::Duration::from_millis(hedge_in.min(call.left()).0);
-            let sent = tokio::time::timeout(limit, sendings.next()).await;
-            let step = match sent {
-                Ok(Some(sent)) => self.take(call, sent, sendings.is_empty()),
-                Ok(None) => Step::Wait,
-                Err(_) if call.left() == clock::Millis::ZERO => {
-                    call.trail.ended(call.passed(), "deadline");
-                    self.lost = Some(outcome::Reason::Deadline);
-                    return self.settle(call);
-                }
-                Err(_) => {
-                    self.hedged = true;
-                    hedge_at = None;
-                    self.start(call, &mut sendings, true).await;
-                    Step::Wait
-                }
-            };
-            match step {
-                Step::Wait => {}
-                Step::Done(decided) => return decided,
-                Step::Again => {
-                    let at = self.start(call, &mut sendings, false).await;
-                    hedge_at = hedge_at.or(at);
-                }
-            }
-        }
-    }
-
-    /// Decides the request once no send is under way.
-    fn settle(self, call: &Call<'_>) -> Final {
-        if let Some(answer) = self.fallback {
-            return answered(answer);
-        }
-        if let Some(reason) = self.lost {
-            return call.unknown(reason);
-        }
-        let (reason, after) = match self.refused {
-            Some(refused) => (refused.reason, Some(refused.after)),
-            None => (outcome::Reason::NoServer, None),
-        };
-        call.not_run(reason, after)
-    }
-
-    /// Starts one more send, if a server and the budget allow; returns when a hedge is due.
-    async fn start(
-        &mut self,
-        call: &mut Call<'_>,
-        sendings: &mut FuturesUnordered<Sending>,
-        is_hedge: bool,
-    ) -> Option<clock::Millis> {
-        if self.writes_count >= self.route.spec.sends_max {
-            return None;
-        }
-        let shared = call.shared;
-        // What is in force may have changed since the request came.
-        let table = shared.table.load_full();
-        let position = table.services.iter().position(|s| s.spec.name == self.name);
-        let service = position?;
-        let need = placement::Need {
-            work_ms: self.route.estimate.work_ms(),
-            answer_kb: self.route.estimate.answer_kb(),
-            crowded_factor: self.route.estimate.crowded_factor(),
-        };
-        let wanted = place::Wanted {
-            service,
-            need,
-            homes: &self.route.spec.home_regions,
-            tried: &self.tried,
-            time: self.time(call),
-        };
-        let placed = match place::place(shared, &table, &wanted).await {
-            Ok(placed) => placed,
-            Err(refused) => {
-                if !is_hedge {
-                    call.trail.refused(call.passed(), &refused);
-                    self.refused = Some(refused);
-                }
-                return None;
-            }
-        };
-        if is_hedge && !self.is_worth_hedging(&placed, call) {
-            return None;
-        }
-        if self.writes_count > 0 && !self.spend(shared, &table, service) {
-            return None;
-        }
-        if self.writes_count > 0 {
-            metrics::count(match is_hedge {
-                true => &shared.metrics.hedges,
-                false => &shared.metrics.retries,
-            });
-        }
-        let hedge_at = self.hedge_at(call, &placed.prediction);
-        self.send(call, sendings, placed);
-        hedge_at
-    }
-
-    fn time(&self, call: &Call<'_>) -> admission::Time {
-        let passed = self.waited + call.passed();
-        admission::Time {
-            to_aim: self.route.spec.aim.since(passed),
-            to_deadline: call.left(),
-        }
-    }
-
-    fn is_worth_hedging(&self, placed: &place::Placed, call: &Call<'_>) -> bool {
-        let prediction = &placed.prediction;
-        prediction.stretch_percent <= HEDGE_SPEED_PERCENT
-            && prediction.busy < placed.backend.announcement.slots
-            && prediction.answer_ms < call.left().0 as f64
-            && !placed.backend.is_cold(call.shared.clock.now())
-    }
-
-    fn spend(&self, shared: &live::Shared, table: &table::Table, service: usize) -> bool {
-        let bound = &shared.settings.bounds.retries;
-        let budget = &table.services[service].budget;
-        let may = budget.take(shared.clock.now(), bound, table.processes_count());
-        if !may {
-            metrics::count(&shared.metrics.over_budget);
-        }
-        may
-    }
-
-    /// Returns when a second send is due: as late as it can still keep the aim, but not before the
-    /// first one is later than usual.
-    fn hedge_at(
-        &self,
-        call: &Call<'_>,
-        prediction: &placement::Prediction,
-    ) -> Option<clock::Millis> {
-        let may = self.is_repeatable
-            && !self.hedged
-            && self.writes_count + 1 < self.route.spec.sends_max
-            && self.route.spec.class != class::Class::OneTimeFiling;
-        if !may {
-            return None;
-        }
-        let work = self.route.estimate.work_ms();
-        let aim = self.route.spec.aim.0 as f64;
-        let passed = self.waited + call.passed();
-        let last = aim - passed.0 as f64 - work - MARGIN_MS.0 as f64;
-        let usual = work * HEDGE_WORK_FACTOR;
-        let wait = match last >= usual {
-            true => last,
-            false => usual.max(prediction.answer_ms),
-        };
-        Some(call.shared.clock.now() + clock::Millis(wait as u64))
-    }
-
-    fn send(
-        &mut self,
-        call: &mut Call<'_>,
-        sendings: &mut FuturesUnordered<Sending>,
-        placed: place::Placed,
-    ) {
-        let Some(payload) = self.next_payload() else {
-            return;
-        };
-        call.trail
-            .sent(call.passed(), placed.backend.id(), &placed.prediction);
-        self.tried.push(sync::Arc::clone(&placed.backend));
-        self.writes_count += 1;
-        let send = send::Send {
-            backend: placed.backend,
-            head: sync::Arc::clone(&self.head),
-            id: sync::Arc::clone(&call.id),
-            payload,
-            is_one_time: !self.route.spec.class.is_idempotent(),
-            deadline: call.deadline,
-            prediction: placed.prediction,
-        };
-        let shared = sync::Arc::clone(call.shared);
-        sendings.push(Box::pin(async move { send::send(&shared, send).await }));
-    }
-
-    /// Returns the body for one more send; a body that streams can be sent once.
-    fn next_payload(&mut self) -> Option<payload::Payload> {
-        let payload = self.payload.as_ref()?;
-        if payload.rest.is_some() {
-            return self.payload.take();
-        }
-        Some(payload::Payload::whole(payload.held.clone()))
-    }
-
-    /// Takes the result of a send; `is_last` if no other one is under way.
-    fn take(&mut self, call: &mut Call<'_>, sent: send::Sent, is_last: bool) -> Step {
-        match sent {
-            send::Sent::Answered(answer) => {
-                call.trail.ended(call.passed(), answer.status.as_str());
-                self.take_answer(answer, is_last)
-            }
-            send::Sent::NotRun(reason, was_written) => {
-                call.trail.ended(call.passed(), reason.name());
-                if !was_written {
-                    self.writes_count -= 1;
-                }
-                // By then about half of the requests that run there have ended.
-                let half = clock::Millis((self.route.estimate.work_ms() / 2.0) as u64);
-                self.refused = Some(place::Refused::new(reason, half));
-                self.again(is_last)
-            }
-            send::Sent::Unknown(reason) => {
-                call.trail.ended(call.passed(), reason.name());
-                self.lost = Some(reason);
-                match self.is_repeatable {
-                    true => self.again(is_last),
-                    false => Step::Wait,
-                }
-            }
-        }
-    }
-
-    fn again(&self, is_last: bool) -> Step {
-        let is_allowed = self.writes_count < self.route.spec.sends_max && self.payload.is_some();
-        match is_last && is_allowed {
-            true => Step::Again,
-            false => Step::Wait,
-        }
-    }
-
-    fn take_answer(&mut self, answer: send::Answer, is_last: bool) -> Step {
-        if answer.status.is_server_error() && self.is_repeatable {
-            self.fallback = Some(answer);
-            return self.again(is_last);
-        }
-        if answer.status.is_success() {
-            let (took, stretch) = (answer.took, answer.stretch_percent);
-            let estimate = &self.route.estimate;
-            estimate.note(took, stretch, answer.held_bytes, answer.room);
-        }
-        Step::Done(answered(answer))
-    }
-}
-
-fn answered(answer: send::Answer) -> Final {
-    let mut response = hyper::Response::new(answer.body);
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = answer.headers;
-    head::strip_hop_headers(response.headers_mut());
-    Final {
-        response,
-        outcome: outcome::Outcome::Answered,
-    }
+    exchange::Exchange::new(request).run(call).await
 }
