Name the follower's call once, and drop a counter that nobody read

The name of the sync call stood in the coordinator and in the gateway; it belongs to the messages of nutmegdale-registry that both use. The pool counted connections that no metric showed. Behaviour is unchanged.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -13,8 +13,6 @@
 pub(crate) const COMMAND: &str = "registry-command";
 /// Call that reads the current configuration from the leader.
 pub(crate) const READ: &str = "registry-read";
-/// Call of an entry process that follows the registry.
-pub(crate) const SYNC: &str = "registry-sync";
 /// Call of one coordinator to another.
 pub(crate) const GOSSIP: &str = "gossip";
 
@@ -65,7 +63,7 @@
         let operations = sync::Arc::clone(&self.operations);
         let rounds = sync::Arc::clone(&self.rounds);
         match name {
-            SYNC => Some(Box::pin(async move {
+            follow::SYNC => Some(Box::pin(async move {
                 let req: follow::SyncRequest = server::decode(&body)?;
                 server::encode(&operations.sync(req).await)
             })),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,8 +8,6 @@
 use std::time;
 use tokio::sync::watch;
 
-/// Call of a follower.
-const SYNC: &str = "registry-sync";
 /// Time for which a coordinator may hold a sync.
 const HOLD_MS: clock::Millis = clock::Millis(500);
 /// Time for an answer beyond the hold, after which another coordinator is asked.
@@ -129,7 +127,7 @@
         let call = self
             .shared
             .client
-            .call(target, SYNC, &req, HOLD_MS + ANSWER_MS);
+            .call(target, follow::SYNC, &req, HOLD_MS + ANSWER_MS);
         let reply: nutmegdale_rpc::error::Result<follow::SyncReply> = tokio::select! {
             reply = call => reply,
             // Others have to learn at once that this process is about to leave.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -76,7 +76,6 @@
     generation: atomic::AtomicU64,
     open: sync::Arc<atomic::AtomicU32>,
     share: atomic::AtomicU32,
-    opened: atomic::AtomicU64,
 }
 
 impl Pool {
@@ -89,7 +88,6 @@
             generation: atomic::AtomicU64::new(0),
             open: sync::Arc::default(),
             share: atomic::AtomicU32::new(1),
-            opened: atomic::AtomicU64::new(0),
         }
     }
 
@@ -150,7 +148,6 @@
         let io = rt::TokioIo::new(stream);
         let handshake = http1::handshake::<_, listen::Body>(io).await;
         let (sender, conn) = handshake.map_err(|_| Error::Connect)?;
-        self.opened.fetch_add(1, atomic::Ordering::Relaxed);
         // Errors reach the request through its sender.
         tokio::spawn(async move { drop(conn.await) });
         Ok(Connection {
@@ -225,9 +222,4 @@
         self.generation.fetch_add(1, atomic::Ordering::Relaxed);
         self.idle().clear();
     }
-
-    /// Returns how many connections were opened so far.
-    pub fn opened_count(&self) -> u64 {
-        self.opened.load(atomic::Ordering::Relaxed)
-    }
 }
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -8,6 +8,9 @@
 use std::net;
 use std::sync;
 
+/// Name of the call of a follower to a coordinator.
+pub const SYNC: &str = "registry-sync";
+
 /// Entry process, as others need to know it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Entry {
