Believe no usual waiting time before twenty callers of a route

Cause: the running median of the times that callers state began with the first one, so one caller with a long time made the next 70 look like returning callers, who got only free room. Ruled out: a longer memory, which keeps the wrong start for longer. Change: the first callers move the median by their share, and nobody counts as returning before the twentieth.

--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -6,8 +6,11 @@
 
 /// Answers over which an average forgets; the first ones weigh equally.
 const MEMORY_COUNT: u64 = 20;
-/// Step of the running median of the times that callers wait, in percent.
+/// Smallest step of the running median of the times that callers wait, in percent.
 const USUAL_STEP_PERCENT: u64 = 2;
+/// Callers before whom no median is believed. Each of them moves it by its share, so that the
+/// median does not stay at a first caller who waits unusually long.
+const USUAL_MIN_COUNT: u64 = 20;
 /// Part of the usual time below which a caller has come before, in percent; callers differ by
 /// less.
 const AGAIN_PERCENT: u64 = 82;
@@ -41,6 +44,7 @@
     crowded_us: atomic::AtomicU64,
     crowded_count: atomic::AtomicU64,
     usual_wait_ms: atomic::AtomicU64,
+    waits_count: atomic::AtomicU64,
 }
 
 /// Size of an answer that is assumed before the first one, in bytes.
@@ -62,6 +66,7 @@
             crowded_us: atomic::AtomicU64::new(0),
             crowded_count: atomic::AtomicU64::new(0),
             usual_wait_ms: atomic::AtomicU64::new(0),
+            waits_count: atomic::AtomicU64::new(0),
         }
     }
 
@@ -106,14 +111,15 @@
             0 => left.0,
             usual => usual,
         };
-        let step = usual * USUAL_STEP_PERCENT / 100;
+        let count = self.waits_count.fetch_add(1, order);
+        let step = usual * (100 / (count + 1)).max(USUAL_STEP_PERCENT) / 100;
         let next = match left.0.cmp(&usual) {
-            cmp::Ordering::Less => usual - step,
+            cmp::Ordering::Less => (usual - step).max(1),
             cmp::Ordering::Equal => usual,
             cmp::Ordering::Greater => usual + step,
         };
         self.usual_wait_ms.store(next, order);
-        let is_again = left.0 < usual * AGAIN_PERCENT / 100;
+        let is_again = count >= USUAL_MIN_COUNT && left.0 < usual * AGAIN_PERCENT / 100;
         clock::Millis(if is_again { usual - left.0 } else { 0 })
     }
 
