Weigh detours in parts of a request's aim

Cause: the delay that is accepted to spare a link between regions a kilobyte was fixed, so exports with an aim of 1,200 ms left their zone for a server that was 700 ms quicker. Change: the delay is a part of the aim; with aims of 250 and 300 ms it is about what it was. Test: dispatch/tests/ways.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -38,10 +38,18 @@
 pub struct Way {
     /// Time there and back in milliseconds.
     pub rtt_ms: f64,
-    /// Delay in milliseconds that a request on this way is worth.
-    pub ms: f64,
-    /// Delay in milliseconds that one kilobyte on this way is worth.
-    pub ms_per_kb: f64,
+    /// Delay that is accepted to spare this way a request, in parts of the request's aim.
+    pub aims: f64,
+    /// Delay that is accepted to spare this way one kilobyte, in parts of the request's aim.
+    pub aims_per_kb: f64,
+}
+
+impl Way {
+    /// Returns the delay that is accepted to spare this way a request. A request with a long aim
+    /// can wait longer for a server nearby.
+    pub fn detour_ms(&self, need: &Need) -> f64 {
+        (self.aims + need.answer_kb * self.aims_per_kb) * need.aim_ms
+    }
 }
 
 /// Costs of ways by distance.
@@ -92,6 +100,8 @@
     pub answer_kb: f64,
     /// Factor by which servers are slower when all their slots are taken.
     pub crowded_factor: f64,
+    /// Time within which its answer is worth most, in milliseconds.
+    pub aim_ms: f64,
 }
 
 /// Prediction for one server.
@@ -136,8 +146,6 @@
 
 /// Factor by which a cold server is slower.
 const COLD_FACTOR: f64 = 2.0;
-/// Time that a failed answer costs a request in milliseconds: about one aim.
-const FAILURE_MS: f64 = 250.0;
 
 /// Delay that is accepted to stay with the servers that this process goes to first: their load is
 /// known and their connections are open.
@@ -185,11 +193,12 @@
     } else {
         DETOUR_MS
     };
-    let way_ms = way.ms + need.answer_kb * way.ms_per_kb;
+    // A failed answer costs a request its aim.
+    let failed_ms = failed * need.aim_ms;
     let mut prediction = Prediction {
         answer_ms,
         reported_ms,
-        cost_ms: answer_ms + way_ms + detour + failed * FAILURE_MS,
+        cost_ms: answer_ms + way.detour_ms(&need) + detour + failed_ms,
         age: last.map(|aged| aged.age),
         stretch_percent: stretch,
         busy,
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -20,8 +20,8 @@
 const WAYS: placement::Ways = {
     let way = placement::Way {
         rtt_ms: 1.0,
-        ms: 0.0,
-        ms_per_kb: 0.0,
+        aims: 0.0,
+        aims_per_kb: 0.0,
     };
     placement::Ways {
         zone: way,
@@ -148,6 +148,7 @@
         work_ms: WORK_MS,
         answer_kb: 1.5,
         crowded_factor: CROWDED_FACTOR,
+        aim_ms: AIM_MS as f64,
     };
     let candidates: Vec<_> = own
         .iter()
@@ -286,6 +287,7 @@
         work_ms: WORK_MS,
         answer_kb: 1.0,
         crowded_factor: CROWDED_FACTOR,
+        aim_ms: AIM_MS as f64,
     };
     for _ in 0..1_000 {
         let time = admission::Time {
--- /dev/null
+++ b/crates/dispatch/tests/ways.rs
@@ -0,0 +1,79 @@
+//! Which way a request goes: nearby servers before traffic that is billed by volume.
+
+use nutmegdale_base::{clock, rng};
+use nutmegdale_dispatch::{health, placement, signal};
+
+const WAYS: placement::Ways = placement::Ways {
+    zone: placement::Way {
+        rtt_ms: 0.5,
+        aims: 0.0,
+        aims_per_kb: 0.0,
+    },
+    region: placement::Way {
+        rtt_ms: 3.0,
+        aims: 0.07,
+        aims_per_kb: 0.01,
+    },
+    far: placement::Way {
+        rtt_ms: 17.0,
+        aims: 0.2,
+        aims_per_kb: 0.027,
+    },
+};
+
+/// Returns the distance that is picked when the server of the zone is seven times slower.
+fn picked(need: placement::Need) -> placement::Distance {
+    let now = clock::Millis(1_000);
+    let distances = [placement::Distance::Zone, placement::Distance::Far];
+    let signals = [signal::Signal::default(), signal::Signal::default()];
+    let health = health::Health::default();
+    for (signal, stretch_percent) in signals.iter().zip([700, 100]) {
+        let report = signal::Report {
+            running: 0,
+            waiting: 0,
+            slots: 3,
+            stretch_percent,
+        };
+        signal.note(now, report, 0);
+    }
+    let candidates: Vec<_> = signals
+        .iter()
+        .zip(distances)
+        .map(|(signal, distance)| placement::Candidate {
+            signal,
+            health: &health,
+            slots: 3,
+            distance,
+            is_cold: false,
+            is_preferred: true,
+        })
+        .collect();
+    let mut rng = rng::SplitMix64::new(1);
+    let ranked = placement::rank(now, &candidates, need, &WAYS, &mut rng);
+    distances[ranked[0].0]
+}
+
+/// Guards against exports that travel between regions although their aim leaves time for a slow
+/// server nearby.
+#[test]
+fn export_with_a_long_aim_stays_in_its_zone() {
+    let export = placement::Need {
+        work_ms: 170.0,
+        answer_kb: 90.0,
+        crowded_factor: 1.7,
+        aim_ms: 1_200.0,
+    };
+    assert_eq!(picked(export), placement::Distance::Zone);
+}
+
+/// Guards against lookups that miss their aim at a slow server to spare a kilobyte.
+#[test]
+fn lookup_goes_to_a_quick_server_of_another_region() {
+    let lookup = placement::Need {
+        work_ms: 90.0,
+        answer_kb: 1.5,
+        crowded_factor: 1.7,
+        aim_ms: 250.0,
+    };
+    assert_eq!(picked(lookup), placement::Distance::Far);
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,21 +36,22 @@
 }
 
 /// Costs of the ways to servers: the time of the links between zones and regions, and the delay
-/// that is accepted to spare them a request or a kilobyte, since traffic between zones is billed by volume.
+/// that is accepted to spare them a request or a kilobyte, since traffic between zones is billed by
+/// volume.
 pub const WAYS: placement::Ways = placement::Ways {
     zone: placement::Way {
         rtt_ms: 0.5,
-        ms: 0.0,
-        ms_per_kb: 0.0,
+        aims: 0.0,
+        aims_per_kb: 0.0,
     },
     region: placement::Way {
         rtt_ms: 3.0,
-        ms: 20.0,
-        ms_per_kb: 3.0,
+        aims: 0.07,
+        aims_per_kb: 0.01,
     },
     far: placement::Way {
         rtt_ms: 17.0,
-        ms: 60.0,
-        ms_per_kb: 8.0,
+        aims: 0.2,
+        aims_per_kb: 0.027,
     },
 };
