Look at the server of a request before the last moment for a second send

Ruled out: sending again sooner in any case, which a third of all requests would use. Change: the server is asked how quick it is at two moments before the last one for a second send; the choice of a server asks up to four rounds where the first ones find no quiet VM.

--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -1,6 +1,6 @@
 //! Log of what was decided on requests: one line for each request, with every send and its inputs.
 
-use crate::{backend, place};
+use crate::{backend, lookout, place};
 use nutmegdale_base::{class, clock, outcome};
 use nutmegdale_dispatch::{health, placement};
 use nutmegdale_telemetry::limiter;
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Notes why a second send is due.
+    pub(crate) fn hedged(&mut self, at: clock::Millis, sign: lookout::Sign) {
+        write!(self.sends, " {}:hedge-{}", at.0, sign.name()).expect("string can be written");
+    }
+
     /// Notes how the last send, or the request without one, went on.
     pub fn ended(&mut self, at: clock::Millis, what: &str) {
         write!(self.sends, " {}:{what}", at.0).expect("string can be written");
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,21 +4,16 @@
 //! to another one only if the last stated that it has not run, and second sends stay within the
 //! budget of their service.
 
-use crate::{backend, call, live, metrics, payload, place, send, table};
+use crate::{backend, call, live, lookout, metrics, payload, place, send, table};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use nutmegdale_base::{class, clock, outcome};
-use nutmegdale_dispatch::{admission, placement};
+use nutmegdale_dispatch::{admission, hedge, placement};
 use nutmegdale_entry::head;
 use std::pin;
 use std::sync;
 use std::time;
 
-/// Factor on the usual work after which an answer is late enough for a second send.
-const HEDGE_WORK_FACTOR: f64 = 1.35;
-/// Speed up to which a server is quick enough for a second send, in percent of the usual time.
-const HEDGE_SPEED_PERCENT: f64 = 180.0;
-
 /// Request to send.
 pub(crate) struct Request<'a> {
     /// Its route.
@@ -66,6 +61,36 @@
     Done(call::Final),
 }
 
+/// What happened while answers were awaited.
+enum Event {
+    /// A send ended.
+    Sent(send::Sent),
+    /// A second send is due.
+    Hedge(lookout::Sign),
+    /// The time of the request is over.
+    Deadline,
+}
+
+async fn next(
+    call: &call::Call<'_>,
+    sendings: &mut FuturesUnordered<Sending>,
+    lookout: &mut Option<lookout::Lookout>,
+) -> Event {
+    let hedge = async {
+        match lookout {
+            Some(lookout) => lookout.wait(call.shared).await,
+            None => std::future::pending().await,
+        }
+    };
+    let limit = time::Duration::from_millis(call.left().0);
+    tokio::select! {
+        biased;
+        Some(sent) = sendings.next() => Event::Sent(sent),
+        sign = hedge => Event::Hedge(sign),
+        () = tokio::time::sleep(limit) => Event::Deadline,
+    }
+}
+
 impl<'a> Exchange<'a> {
     /// Creates the exchange of a request that was sent to no server yet.
     pub(crate) fn new(request: Request<'a>) -> Exchange<'a> {
@@ -89,26 +114,22 @@
     /// Sends the request, again where that is allowed, and returns its final answer.
     pub(crate) async fn run(mut self, call: &mut call::Call<'_>) -> call::Final {
         let mut sendings: FuturesUnordered<Sending> = FuturesUnordered::new();
-        let mut hedge_at = self.start(call, &mut sendings, false).await;
+        let mut lookout = self.start(call, &mut sendings, false).await;
         loop {
             if sendings.is_empty() {
                 return self.settle(call);
             }
-            let now = call.shared.clock.now();
-            let hedge_in = hedge_at.map_or(call.left(), |at| at.since(now));
-            let limit = time::Duration::from_millis(hedge_in.min(call.left()).0);
-            let sent = tokio::time::timeout(limit, sendings.next()).await;
-            let step = match sent {
-                Ok(Some(sent)) => self.take(call, sent, sendings.is_empty()),
-                Ok(None) => Step::Wait,
-                Err(_) if call.left() == clock::Millis::ZERO => {
+            let step = match next(call, &mut sendings, &mut lookout).await {
+                Event::Sent(sent) => self.take(call, sent, sendings.is_empty()),
+                Event::Deadline => {
                     call.trail.ended(call.passed(), "deadline");
                     self.lost = Some(outcome::Reason::Deadline);
                     return self.settle(call);
                 }
-                Err(_) => {
+                Event::Hedge(sign) => {
                     self.hedged = true;
-                    hedge_at = None;
+                    lookout = None;
+                    call.trail.hedged(call.passed(), sign);
                     self.start(call, &mut sendings, true).await;
                     Step::Wait
                 }
@@ -116,10 +137,7 @@
             match step {
                 Step::Wait => {}
                 Step::Done(decided) => return decided,
-                Step::Again => {
-                    let at = self.start(call, &mut sendings, false).await;
-                    hedge_at = hedge_at.or(at);
-                }
+                Step::Again => lookout = self.start(call, &mut sendings, false).await,
             }
         }
     }
@@ -139,13 +157,13 @@
         call.not_run(reason, after)
     }
 
-    /// Starts one more send, if a server and the budget allow; returns when a hedge is due.
+    /// Starts one more send, if a server and the budget allow; returns the lookout for a hedge.
     async fn start(
         &mut self,
         call: &mut call::Call<'_>,
         sendings: &mut FuturesUnordered<Sending>,
         is_hedge: bool,
-    ) -> Option<clock::Millis> {
+    ) -> Option<lookout::Lookout> {
         if self.writes_count >= self.route.spec.sends_max {
             return None;
         }
@@ -158,6 +176,7 @@
             work_ms: self.route.estimate.work_ms(),
             answer_kb: self.route.estimate.answer_kb(),
             crowded_factor: self.route.estimate.crowded_factor(),
+            aim_ms: self.route.spec.aim.0 as f64,
         };
         let wanted = place::Wanted {
             service,
@@ -188,9 +207,10 @@
                 false => &shared.metrics.retries,
             });
         }
-        let hedge_at = self.hedge_at(call, &placed.prediction);
+        let path = &table.services[service].spec.health_path;
+        let lookout = self.lookout(call, &placed, path);
         self.send(call, sendings, placed);
-        hedge_at
+        lookout
     }
 
     fn time(&self, call: &call::Call<'_>) -> admission::Time {
@@ -203,7 +223,7 @@
 
     fn is_worth_hedging(&self, placed: &place::Placed, call: &call::Call<'_>) -> bool {
         let prediction = &placed.prediction;
-        prediction.stretch_percent <= HEDGE_SPEED_PERCENT
+        prediction.stretch_percent <= hedge::QUIET_PERCENT
             && prediction.busy < placed.backend.announcement.slots
             && prediction.answer_ms < call.left().0 as f64
             && !placed.backend.is_cold(call.shared.clock.now())
@@ -219,30 +239,25 @@
         may
     }
 
-    /// Returns when a second send is due: as late as it can still keep the aim, but not before the
-    /// first one is later than usual.
-    fn hedge_at(
+    /// Returns the lookout for a second send, if the request may have one.
+    fn lookout(
         &self,
         call: &call::Call<'_>,
-        prediction: &placement::Prediction,
-    ) -> Option<clock::Millis> {
+        placed: &place::Placed,
+        health_path: &str,
+    ) -> Option<lookout::Lookout> {
         let may = self.is_repeatable
             && !self.hedged
             && self.writes_count + 1 < self.route.spec.sends_max
             && self.route.spec.class != class::Class::OneTimeFiling;
-        if !may {
-            return None;
-        }
-        let work = self.route.estimate.work_ms();
-        let aim = self.route.spec.aim.0 as f64;
-        let passed = self.waited + call.passed();
-        let last = aim - passed.0 as f64 - work - call::MARGIN_MS.0 as f64;
-        let usual = work * HEDGE_WORK_FACTOR;
-        let wait = match last >= usual {
-            true => last,
-            false => usual.max(prediction.answer_ms),
+        let waiting = hedge::Waiting {
+            sent: call.shared.clock.now(),
+            to_aim: self.time(call).to_aim,
+            work_ms: self.route.estimate.work_ms(),
+            predicted_ms: placed.prediction.answer_ms,
         };
-        Some(call.shared.clock.now() + clock::Millis(wait as u64))
+        let backend = sync::Arc::clone(&placed.backend);
+        may.then(|| lookout::Lookout::new(backend, health_path, waiting))
     }
 
     fn send(
--- /dev/null
+++ b/crates/gateway/src/lookout.rs
@@ -0,0 +1,104 @@
+//! Watches a request that was sent: asks its server how quick it is while a second send could
+//! still keep the aim.
+
+use crate::{backend, live, place, probe};
+use nutmegdale_base::clock;
+use nutmegdale_dispatch::hedge;
+use std::pin;
+use std::sync;
+use std::time;
+
+type Asking = pin::Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// Send that may be repeated while its answer is awaited.
+pub(crate) struct Lookout {
+    backend: sync::Arc<backend::Backend>,
+    health_path: String,
+    waiting: hedge::Waiting,
+    asking: Option<Asking>,
+    asked_at: clock::Millis,
+}
+
+/// Why a second send is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sign {
+    /// The server's VM has turned slow.
+    Stuck,
+    /// The answer is later than usual.
+    Late,
+}
+
+impl Sign {
+    /// Returns its name in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Sign::Stuck => "stuck",
+            Sign::Late => "late",
+        }
+    }
+}
+
+impl Lookout {
+    /// Creates the lookout for a request that was sent to `backend`.
+    pub(crate) fn new(
+        backend: sync::Arc<backend::Backend>,
+        health_path: &str,
+        waiting: hedge::Waiting,
+    ) -> Lookout {
+        Lookout {
+            backend,
+            health_path: health_path.to_owned(),
+            waiting,
+            asking: None,
+            asked_at: waiting.sent,
+        }
+    }
+
+    /// Waits until a second send is due and says why. May be dropped and called again.
+    pub(crate) async fn wait(&mut self, shared: &sync::Arc<live::Shared>) -> Sign {
+        loop {
+            if let Some(asking) = &mut self.asking {
+                asking.await;
+                self.asking = None;
+                if self.is_stuck(shared.clock.now()) {
+                    return Sign::Stuck;
+                }
+            }
+            let now = shared.clock.now();
+            let due = self.waiting.due(now);
+            tokio::time::sleep(time::Duration::from_millis(due.at().since(now).0)).await;
+            match due {
+                hedge::Due::Send(_) => return Sign::Late,
+                hedge::Due::Look(_) => self.look(shared),
+            }
+        }
+    }
+
+    /// Asks the server for its load, unless that was reported a moment ago.
+    fn look(&mut self, shared: &sync::Arc<live::Shared>) {
+        let now = shared.clock.now();
+        self.asked_at = now;
+        let last = self.backend.signal.last(now);
+        let is_known = last.is_some_and(|last| last.age <= place::FRESH_MS);
+        if is_known || !probe::may_probe(shared, now) {
+            self.asking = Some(Box::pin(std::future::ready(())));
+            return;
+        }
+        let backend = sync::Arc::clone(&self.backend);
+        let path = self.health_path.clone();
+        self.asking = Some(Box::pin(probe::probe(
+            sync::Arc::clone(shared),
+            backend,
+            path,
+        )));
+    }
+
+    /// Returns whether a report from about the last look shows that the answer will be late.
+    fn is_stuck(&self, now: clock::Millis) -> bool {
+        let Some(last) = self.backend.signal.last(now) else {
+            return false;
+        };
+        let is_new = last.age <= now.since(self.asked_at) + place::FRESH_MS;
+        is_new && self.waiting.is_stuck(now, f64::from(last.stretch_percent))
+    }
+}
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -2,22 +2,20 @@
 
 use crate::{backend, live, probe, table};
 use nutmegdale_base::{clock, outcome};
-use nutmegdale_dispatch::{admission, placement};
+use nutmegdale_dispatch::{admission, hedge, placement};
 use std::sync;
 use std::time;
 
 /// Age up to which a load report is used without a health check. The speed of VMs changes several
 /// times a second.
-const FRESH_MS: clock::Millis = clock::Millis(30);
+pub(crate) const FRESH_MS: clock::Millis = clock::Millis(30);
 /// Age up to which a server may get a request at all without a health check: it may have restarted
 /// cold since.
 const KNOWN_MS: clock::Millis = clock::Millis(1_500);
 /// Candidates that are asked at once.
 const ASKED_COUNT: usize = 3;
 /// Rounds of health checks before a choice.
-const ROUNDS_COUNT: usize = 2;
-/// Speed from which the choice goes on to further candidates, in percent of the usual time.
-const SLOW_PERCENT: f64 = 180.0;
+const ROUNDS_COUNT: usize = 4;
 /// Time to wait for a health check beyond the way there and back.
 const ANSWER_MS: f64 = 5.0;
 
@@ -87,7 +85,7 @@
         let ranked = rank(shared, service, wanted);
         let is_good =
             |(backend, prediction): &(sync::Arc<backend::Backend>, placement::Prediction)| {
-                prediction.stretch_percent < SLOW_PERCENT
+                prediction.stretch_percent < hedge::QUIET_PERCENT
                     && prediction.busy < backend.announcement.slots
             };
         if ranked.first().is_some_and(is_good) {
