Spread first syncs over the seeds, and name a ready process to callers at once

Cause: after a start all processes asked the first seed; a process that was ready named no address until coordinators had heard of it, and look-ups at the directory failed.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,5 +1,6 @@
 //! Chooses the addresses that a caller may connect to.
 
+use crate::{live, table};
 use nutmegdale_registry::follow;
 use std::net;
 
@@ -18,6 +19,17 @@
     pub region: &'a str,
 }
 
+/// Returns the entry processes that callers may be sent to: those of the table, and this process
+/// if it is ready, since after a loss of power coordinators take a while to hear of everyone.
+pub fn entries(shared: &live::Shared, table: &table::Table) -> Vec<follow::Entry> {
+    let own = &shared.settings.entry;
+    let mut entries = table.entries.clone();
+    if shared.is_ready() && !entries.iter().any(|entry| entry.address == own.address) {
+        entries.push(own.clone());
+    }
+    entries
+}
+
 /// Returns the addresses for a caller: those of its zone, which spares it traffic between zones,
 /// and further ones if there are too few. `homes` are the regions that its requests are bound to.
 ///
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -106,11 +106,14 @@
             (c.zone != own.zone, is_far, spread(&own.name, c.address))
         });
         let mut targets: Vec<_> = known.iter().map(|c| c.address).collect();
-        for seed in self.seeds.borrow().iter() {
-            if !targets.contains(seed) {
-                targets.push(*seed);
-            }
-        }
+        // After a start nothing but the seeds is known, and many processes may start at once.
+        let mut seeds = self.seeds.borrow().clone();
+        seeds.sort_by_key(|seed| spread(&own.name, *seed));
+        targets.extend(
+            seeds
+                .iter()
+                .filter(|seed| !known.iter().any(|c| c.address == **seed)),
+        );
         targets
     }
 
