Try a hedge again that could not be placed, and look further for a quiet server with room

Cause: a hedge that was over its budget or found no quiet server was dropped for good, and the request went on to its deadline; the log did not say why. Change: three tries 60 ms apart, the reason in the log line; candidates are asked until one is quiet and has room.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,6 +14,11 @@
 use std::sync;
 use std::time;
 
+/// Tries of one hedge.
+const HEDGE_TRIES_MAX_COUNT: u32 = 3;
+/// Time between two tries of a hedge: others have answered by then, or VMs have changed.
+const HEDGE_AGAIN_MS: clock::Millis = clock::Millis(60);
+
 /// Request to send.
 pub(crate) struct Request<'a> {
     /// Its route.
@@ -47,6 +52,7 @@
     lost: Option<outcome::Reason>,
     refused: Option<place::Refused>,
     hedged: bool,
+    hedge_tries_count: u32,
     /// Time that the caller waited before this attempt.
     waited: clock::Millis,
 }
@@ -107,6 +113,7 @@
             lost: None,
             refused: None,
             hedged: false,
+            hedge_tries_count: 0,
             waited: request.waited,
         }
     }
@@ -127,10 +134,8 @@
                     return self.settle(call);
                 }
                 Event::Hedge(sign) => {
-                    self.hedged = true;
-                    lookout = None;
                     call.trail.hedged(call.passed(), sign);
-                    self.start(call, &mut sendings, true).await;
+                    self.hedge(call, &mut sendings, &mut lookout).await;
                     Step::Wait
                 }
             };
@@ -157,6 +162,25 @@
         call.not_run(reason, after)
     }
 
+    /// Starts a hedge; where that cannot be done now, it is tried again a few times.
+    async fn hedge(
+        &mut self,
+        call: &mut call::Call<'_>,
+        sendings: &mut FuturesUnordered<Sending>,
+        lookout: &mut Option<lookout::Lookout>,
+    ) {
+        let before = self.writes_count;
+        self.start(call, sendings, true).await;
+        self.hedge_tries_count += 1;
+        self.hedged = self.writes_count > before || self.hedge_tries_count >= HEDGE_TRIES_MAX_COUNT;
+        match lookout {
+            Some(lookout) if !self.hedged => {
+                lookout.pause(call.shared.clock.now() + HEDGE_AGAIN_MS);
+            }
+            _ => *lookout = None,
+        }
+    }
+
     /// Starts one more send, if a server and the budget allow; returns the lookout for a hedge.
     async fn start(
         &mut self,
@@ -188,17 +212,19 @@
         let placed = match place::place(shared, &table, &wanted).await {
             Ok(placed) => placed,
             Err(refused) => {
+                call.trail.refused(call.passed(), &refused);
                 if !is_hedge {
-                    call.trail.refused(call.passed(), &refused);
                     self.refused = Some(refused);
                 }
                 return None;
             }
         };
         if is_hedge && !self.is_worth_hedging(&placed, call) {
+            call.trail.ended(call.passed(), "no-quiet-server");
             return None;
         }
         if self.writes_count > 0 && !self.spend(shared, &table, service) {
+            call.trail.ended(call.passed(), "over-budget");
             return None;
         }
         if self.writes_count > 0 {
--- a/crates/gateway/src/lookout.rs
+++ b/crates/gateway/src/lookout.rs
@@ -17,6 +17,8 @@
     waiting: hedge::Waiting,
     asking: Option<Asking>,
     asked_at: clock::Millis,
+    /// Time until which a sign is not reported again.
+    paused_until: clock::Millis,
 }
 
 /// Why a second send is due.
@@ -51,9 +53,15 @@
             waiting,
             asking: None,
             asked_at: waiting.sent,
+            paused_until: waiting.sent,
         }
     }
 
+    /// Reports no sign until `until`, and one then.
+    pub(crate) fn pause(&mut self, until: clock::Millis) {
+        self.paused_until = until;
+    }
+
     /// Waits until a second send is due and says why. May be dropped and called again.
     pub(crate) async fn wait(&mut self, shared: &sync::Arc<live::Shared>) -> Sign {
         loop {
@@ -65,6 +73,11 @@
                 }
             }
             let now = shared.clock.now();
+            if self.paused_until > now {
+                let pause = self.paused_until.since(now).0;
+                tokio::time::sleep(time::Duration::from_millis(pause)).await;
+                return Sign::Late;
+            }
             let due = self.waiting.due(now);
             tokio::time::sleep(time::Duration::from_millis(due.at().since(now).0)).await;
             match due {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -83,11 +83,9 @@
             break;
         }
         let ranked = rank(shared, service, wanted);
-        let is_good =
-            |(backend, prediction): &(sync::Arc<backend::Backend>, placement::Prediction)| {
-                prediction.stretch_percent < hedge::QUIET_PERCENT
-                    && prediction.busy < backend.announcement.slots
-            };
+        let is_good = |(_, prediction): &(sync::Arc<backend::Backend>, placement::Prediction)| {
+            prediction.stretch_percent < hedge::QUIET_PERCENT && prediction.has_room
+        };
         if ranked.first().is_some_and(is_good) {
             break;
         }
