Tell followers of the first commit of a term at once

Change: the commit of a term's first entry makes a heartbeat due. Test: first_commit_of_a_term_is_told_at_once, red before.

--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -14,6 +14,8 @@
 #[derive(Debug)]
 pub(crate) struct Lead {
     pub(crate) progress: collections::BTreeMap<types::ReplicaId, progress::Progress>,
+    /// Whether the commit of the first entry of this term was told.
+    is_first_announced: bool,
     /// Index of the first entry of this term; once it is committed, so is all that came before.
     pub(crate) start: types::Index,
     pub(crate) round: u64,
@@ -70,6 +72,7 @@
         let lead = Lead {
             progress: peers.map(|id| (id, self.new_progress())).collect(),
             start: self.log.last().next(),
+            is_first_announced: false,
             round: 0,
             confirmed_round: 0,
             rounds: collections::VecDeque::new(),
@@ -341,6 +344,7 @@
         // Entries of earlier terms are committed only through one of this term.
         if matched > self.commit && self.log.term_at(matched) == Some(self.hard.term) {
             self.commit_to(matched);
+            self.announce_first_commit();
         }
         self.confirm(confirmed, actions);
         let is_left = !self.members().is_voter(self.id) && self.commit >= self.members.since();
@@ -349,6 +353,19 @@
         }
     }
 
+    /// Makes a heartbeat due once the first entry of the term is committed. Until followers that
+    /// have just started hear of it, they know of no committed entry and answer nobody.
+    fn announce_first_commit(&mut self) {
+        let (now, commit) = (self.now, self.commit);
+        if let Some(lead) = &mut self.lead
+            && !lead.is_first_announced
+            && commit >= lead.start
+        {
+            lead.is_first_announced = true;
+            lead.heartbeat_at = now;
+        }
+    }
+
     fn confirm(&mut self, confirmed: u64, actions: &mut actions::Actions) {
         let commit = self.commit;
         let Some(lead) = &mut self.lead else {
--- a/crates/consensus/tests/focused.rs
+++ b/crates/consensus/tests/focused.rs
@@ -414,3 +414,24 @@
     assert!(status.members.is_voter(net::id(old)));
     assert_eq!(status.is_repaired, Some(true));
 }
+
+/// Guards against followers that start together with their leader and learn only from its next
+/// heartbeat what is committed, which leaves everyone who follows them without service until then.
+#[test]
+fn first_commit_of_a_term_is_told_at_once() {
+    let mut bench = Bench::new(recovered(&[]));
+    let term = bench.lead();
+    let index = bench.node.status().last.0;
+    bench.now_ms += 20;
+    bench.appended(2, term, index);
+    assert_eq!(bench.node.status().commit, types::Index(index));
+    assert!(
+        bench.node.next_tick() <= clock::Millis(bench.now_ms),
+        "a heartbeat is due"
+    );
+    bench.step(input::Input::Tick);
+    let told = bench.actions.messages.iter().filter(
+        |env| matches!(env.message, types::Message::Append { commit, .. } if commit.0 == index),
+    );
+    assert_eq!(told.count(), 2);
+}
