Store and send configurations compressed

Ruled out: differences between versions, which need the receiver's version and a format of their own. Change: documents are deflated where they come in and unpacked where they are read; fingerprints are of the document as it was sent.

--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -4,7 +4,7 @@
 use displaydoc::Display;
 use nutmegdale_base::clock;
 use nutmegdale_consensus::{status, types};
-use nutmegdale_registry::{config, follow, server, state};
+use nutmegdale_registry::{config, document, follow, server, state};
 use nutmegdale_replica::handle;
 use nutmegdale_rpc::client;
 use nutmegdale_telemetry::limiter;
@@ -44,14 +44,12 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Current configuration.
-#[serde_with::serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Current {
     /// Version; 0 before the first configuration.
     pub version: u64,
     /// Document as its operator sent it.
-    #[serde_as(as = "sync::Arc<serde_with::Bytes>")]
-    pub document: sync::Arc<Vec<u8>>,
+    pub document: document::Document,
 }
 
 /// Soft state of a coordinator.
@@ -95,14 +93,14 @@
     /// # Errors
     ///
     /// `Invalid` names the rule that the document breaks; nothing was changed.
-    pub async fn configure(&self, base: u64, document: Vec<u8>) -> Result<state::Reply> {
-        let config = self.codec.decode(&document).map_err(Error::Invalid)?;
+    pub async fn configure(&self, base: u64, document: &[u8]) -> Result<state::Reply> {
+        let config = self.codec.decode(document).map_err(Error::Invalid)?;
         config::check(&config).map_err(Error::Invalid)?;
         let (version, bytes) = (config.version, document.len());
         let cmd = state::Command::Configure {
             version,
             base,
-            document,
+            document: document::Document::pack(document),
         };
         let reply = self.propose(&cmd).await;
         slog::info!(self.log, "configuration submitted"; "version" => version, "base" => base,
@@ -142,7 +140,7 @@
     pub(crate) fn local(&self) -> Current {
         self.shared.read(|state| Current {
             version: state.version,
-            document: sync::Arc::clone(&state.document),
+            document: state.document.clone(),
         })
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -160,6 +160,12 @@
         is_current
     }
 
+    fn decoded(&self) -> Result<config::Config, config::Fault> {
+        let unreadable = |err: std::io::Error| config::Fault::Unreadable(err.to_string());
+        let document = self.copy.document.unpack().map_err(unreadable)?;
+        self.shared.codec.decode(&document)
+    }
+
     fn lost(&mut self, target: net::SocketAddr, why: &dyn std::fmt::Display) {
         if self
             .followed
@@ -184,7 +190,7 @@
             return;
         }
         if self.copy.version != self.decoded_version {
-            match self.shared.codec.decode(&self.copy.document) {
+            match self.decoded() {
                 Ok(config) => {
                     self.config = Some(config);
                     self.decoded_version = self.copy.version;
--- a/crates/registry/src/feed.rs
+++ b/crates/registry/src/feed.rs
@@ -1,15 +1,14 @@
 //! Changes of the registry since an index, for processes that follow it.
 
+use crate::document;
 use crate::server;
 use serde::{Deserialize, Serialize};
 use std::collections;
-use std::sync;
 
 /// Changes kept for followers; one that lags further gets the whole state.
 const CHANGES_MAX_COUNT: usize = 2_048;
 
 /// One change of the registry.
-#[serde_with::serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// Another configuration is in force.
@@ -17,8 +16,7 @@
         /// Its version.
         version: u64,
         /// Its document.
-        #[serde_as(as = "sync::Arc<serde_with::Bytes>")]
-        document: sync::Arc<Vec<u8>>,
+        document: document::Document,
     },
     /// Other zones are out of service; the list is complete.
     ZonesOut(Vec<String>),
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -1,12 +1,12 @@
 //! Messages between a follower of the registry and a coordinator, and the follower's copy.
 
+use crate::document;
 use crate::feed;
 use crate::server;
 use nutmegdale_base::clock;
 use serde::{Deserialize, Serialize};
 use std::collections;
 use std::net;
-use std::sync;
 
 /// Name of the call of a follower to a coordinator.
 pub const SYNC: &str = "registry-sync";
@@ -94,7 +94,7 @@
     /// Version of the configuration; 0 without one.
     pub version: u64,
     /// Document of the configuration.
-    pub document: sync::Arc<Vec<u8>>,
+    pub document: document::Document,
     /// Zones out of service.
     pub zones_out: collections::BTreeSet<String>,
     /// Servers by id.
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,7 @@
 //! crate to read. See [docs/platform.md](../../../docs/platform.md).
 
 pub mod config;
+pub mod document;
 pub mod feed;
 pub mod follow;
 pub mod server;
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -3,15 +3,14 @@
 //! Invariants: versions only grow; a version that was accepted once is accepted again only with
 //! the same document; a start of a server that has begun to leave never returns to service.
 
+use crate::document;
 use crate::feed;
 use crate::server;
 use serde::{Deserialize, Serialize};
 use sha2::Digest;
 use std::collections;
-use std::sync;
 
 /// Command of an operator or of the system itself.
-#[serde_with::serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
     /// Replaces the configuration.
@@ -20,9 +19,8 @@
         version: u64,
         /// Version that it builds on.
         base: u64,
-        /// The document as the operator sent it.
-        #[serde_as(as = "serde_with::Bytes")]
-        document: Vec<u8>,
+        /// The document.
+        document: document::Document,
     },
     /// Takes a zone out of service.
     ZoneOut(String),
@@ -51,7 +49,10 @@
 /// SHA-256 of a document.
 type Fingerprint = [u8; 32];
 
-fn fingerprint(document: &[u8]) -> Fingerprint {
+/// Returns the fingerprint of the document as its operator sent it.
+fn fingerprint(document: &document::Document) -> Fingerprint {
+    let document = document.unpack();
+    let document = document.expect("a coordinator of this build packed the document");
     sha2::Sha256::digest(document).into()
 }
 
@@ -64,7 +65,7 @@
     /// Current version; 0 before the first configuration.
     pub version: u64,
     /// Document of the current version.
-    pub document: sync::Arc<Vec<u8>>,
+    pub document: document::Document,
     /// Each accepted version with the fingerprint of its document, so that a resent change is
     /// recognised after others have followed it.
     accepted: collections::BTreeMap<u64, Fingerprint>,
@@ -102,7 +103,7 @@
     }
 
     /// Returns whether exactly this configuration was accepted before.
-    pub fn was_accepted(&self, version: u64, document: &[u8]) -> bool {
+    pub fn was_accepted(&self, version: u64, document: &document::Document) -> bool {
         self.accepted
             .get(&version)
             .is_some_and(|known| *known == fingerprint(document))
@@ -112,7 +113,7 @@
         &mut self,
         version: u64,
         base: u64,
-        document: Vec<u8>,
+        document: document::Document,
         changes: &mut Vec<feed::Change>,
     ) -> Reply {
         if self.was_accepted(version, &document) {
@@ -125,11 +126,8 @@
         }
         self.accepted.insert(version, fingerprint(&document));
         self.version = version;
-        self.document = sync::Arc::new(document);
-        changes.push(feed::Change::Configuration {
-            version,
-            document: sync::Arc::clone(&self.document),
-        });
+        self.document = document.clone();
+        changes.push(feed::Change::Configuration { version, document });
         Reply::Done
     }
 
@@ -202,7 +200,7 @@
         if self.version > 0 {
             changes.push(feed::Change::Configuration {
                 version: self.version,
-                document: sync::Arc::clone(&self.document),
+                document: self.document.clone(),
             });
         }
         let servers = self.servers.values();
--- a/crates/registry/tests/state.rs
+++ b/crates/registry/tests/state.rs
@@ -1,13 +1,13 @@
 //! The registry's state machine under resent, racing and late commands.
 
 use nutmegdale_base::clock;
-use nutmegdale_registry::{feed, follow, server, state};
+use nutmegdale_registry::{document, feed, follow, server, state};
 
 fn configure(state: &mut state::State, base: u64, version: u64, document: &[u8]) -> state::Reply {
     let cmd = state::Command::Configure {
         version,
         base,
-        document: document.to_vec(),
+        document: document::Document::pack(document),
     };
     let index = state.index + 1;
     state.apply(index, cmd, &mut Vec::new())
@@ -43,7 +43,8 @@
     assert_eq!(configure(&mut state, 3, 5, b"second"), state::Reply::Done);
     assert_eq!(configure(&mut state, 0, 3, b"first"), state::Reply::Done);
     assert_eq!(state.version, 5);
-    assert_eq!(**state.document, *b"second");
+    let document = state.document.unpack().expect("it was packed");
+    assert_eq!(document, b"second");
 }
 
 /// Guards against two operators that both win with changes of the same version.
