--- a/crates/testkit/src/link.rs
+++ b/crates/testkit/src/link.rs
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub struct Link {
     state: watch::Sender<State>,
-    _tasks: task::JoinSet<()>,
+    tasks: task::JoinSet<()>,
 }
 
 impl Link {
@@ -49,10 +49,12 @@
         let state = watch::Sender::new(state);
         let mut tasks = task::JoinSet::new();
         tasks.spawn(accept(listener, to, state.clone()));
-        Ok(Link {
-            state,
-            _tasks: tasks,
-        })
+        Ok(Link { state, tasks })
+    }
+
+    /// Breaks all connections and frees the address.
+    pub async fn end(&mut self) {
+        self.tasks.shutdown().await;
     }
 
     /// Changes the state, also for open connections.
