--- a/crates/registry/src/feed.rs
+++ b/crates/registry/src/feed.rs
@@ -26,6 +26,25 @@
     Forgotten(String),
 }
 
+/// What a change replaces.
+#[derive(Debug, PartialEq, Eq, Hash)]
+enum Subject<'a> {
+    Configuration,
+    ZonesOut,
+    Server(&'a str),
+}
+
+impl Change {
+    fn subject(&self) -> Subject<'_> {
+        match self {
+            Change::Configuration { .. } => Subject::Configuration,
+            Change::ZonesOut(_) => Subject::ZonesOut,
+            Change::Server(announcement) => Subject::Server(&announcement.id),
+            Change::Forgotten(id) => Subject::Server(id),
+        }
+    }
+}
+
 /// Recent changes.
 #[derive(Debug, Default)]
 pub struct Feed {
@@ -53,11 +72,19 @@
     }
 
     /// Returns the changes after `index`, or `None` if some of them are no longer kept.
+    ///
+    /// Of changes that replace each other only the newest is returned: a follower on a slow link
+    /// falls further behind with each version of a large configuration that it fetches in vain.
     pub fn since(&self, index: u64) -> Option<Vec<Change>> {
         if index < self.dropped_to {
             return None;
         }
-        let newer = self.changes.iter().filter(|(at, _)| *at > index);
-        Some(newer.map(|(_, change)| change.clone()).collect())
+        let newer = self.changes.iter().rev();
+        let newer = newer.take_while(|(at, _)| *at > index);
+        let mut seen = collections::HashSet::new();
+        let newest = newer.filter(|(_, change)| seen.insert(change.subject()));
+        let mut changes: Vec<_> = newest.map(|(_, change)| change.clone()).collect();
+        changes.reverse();
+        Some(changes)
     }
 }
