--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -48,6 +48,9 @@
     pub budget: sync::Arc<budget::Budget>,
 }
 
+/// Routes by host, the longest prefix first.
+type Routes = collections::HashMap<String, Vec<Route>>;
+
 /// Everything in force.
 #[derive(Debug)]
 pub struct Table {
@@ -55,8 +58,7 @@
     pub version: u64,
     /// Index of the registry that it was built from.
     pub index: u64,
-    /// Routes by host, the longest prefix first.
-    routes: collections::HashMap<String, Vec<Route>>,
+    routes: sync::Arc<Routes>,
     /// Services.
     pub services: Vec<Service>,
     /// Entry processes that callers may be sent to.
@@ -106,6 +108,9 @@
     budgets: collections::HashMap<String, sync::Arc<budget::Budget>>,
     estimates: collections::HashMap<String, sync::Arc<estimate::Estimate>>,
     turns: collections::HashMap<String, sync::Arc<split::Turns>>,
+    /// Routes of the configuration with this version. Servers and processes change far more often,
+    /// and a configuration may have more than a thousand routes.
+    routes: (u64, sync::Arc<Routes>),
     zones_out: collections::BTreeSet<String>,
 }
 
@@ -118,6 +123,7 @@
             budgets: collections::HashMap::new(),
             estimates: collections::HashMap::new(),
             turns: collections::HashMap::new(),
+            routes: (0, sync::Arc::default()),
             zones_out: collections::BTreeSet::new(),
         }
     }
@@ -136,21 +142,14 @@
             .iter()
             .map(|spec| self.service(now, spec, copy))
             .collect();
-        let positions = services.iter().enumerate();
-        let positions = positions.map(|(n, service)| (service.spec.name.as_str(), n));
-        let positions: collections::HashMap<_, _> = positions.collect();
-        let mut routes = collections::HashMap::<String, Vec<Route>>::new();
-        for spec in config.iter().flat_map(|config| &config.routes) {
-            let row = self.route(spec, &positions);
-            routes.entry(spec.host.clone()).or_default().push(row);
-        }
-        for rows in routes.values_mut() {
-            rows.sort_by_key(|row| std::cmp::Reverse(row.spec.prefix.len()));
+        if let Some(config) = config.filter(|config| config.version != self.routes.0) {
+            let routes = self.routes(config);
+            self.routes = (config.version, sync::Arc::new(routes));
         }
         Table {
             version: copy.version,
             index: copy.index,
-            routes,
+            routes: sync::Arc::clone(&self.routes.1),
             services,
             entries: copy.entries.clone(),
             listeners: config.map(|config| config.listeners),
@@ -264,6 +263,21 @@
         }
     }
 
+    fn routes(&mut self, config: &config::Config) -> Routes {
+        let positions = config.services.iter().enumerate();
+        let positions = positions.map(|(n, service)| (service.name.as_str(), n));
+        let positions: collections::HashMap<_, _> = positions.collect();
+        let mut routes = Routes::new();
+        for spec in &config.routes {
+            let row = self.route(spec, &positions);
+            routes.entry(spec.host.clone()).or_default().push(row);
+        }
+        for rows in routes.values_mut() {
+            rows.sort_by_key(|row| std::cmp::Reverse(row.spec.prefix.len()));
+        }
+        routes
+    }
+
     fn route(
         &mut self,
         spec: &config::Route,
