--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -48,7 +48,7 @@
     /// Returns the delay that is accepted to spare this way a request. A request with a long aim
     /// can wait longer for a server nearby.
     pub fn detour_ms(&self, need: &Need) -> f64 {
-        (self.aims + need.answer_kb * self.aims_per_kb) * need.aim_ms
+        (self.aims + need.moved_kb * self.aims_per_kb) * need.aim_ms
     }
 }
 
@@ -96,8 +96,8 @@
 pub struct Need {
     /// Usual work in milliseconds.
     pub work_ms: f64,
-    /// Usual size of the answer in kilobytes.
-    pub answer_kb: f64,
+    /// Size of the request and usual size of its answer in kilobytes.
+    pub moved_kb: f64,
     /// Factor by which servers are slower when all their slots are taken.
     pub crowded_factor: f64,
     /// Time within which its answer is worth most, in milliseconds.
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -146,7 +146,7 @@
 ) -> Option<usize> {
     let need = placement::Need {
         work_ms: WORK_MS,
-        answer_kb: 1.5,
+        moved_kb: 1.5,
         crowded_factor: CROWDED_FACTOR,
         aim_ms: AIM_MS as f64,
     };
@@ -285,7 +285,7 @@
     };
     let need = placement::Need {
         work_ms: WORK_MS,
-        answer_kb: 1.0,
+        moved_kb: 1.0,
         crowded_factor: CROWDED_FACTOR,
         aim_ms: AIM_MS as f64,
     };
--- a/crates/dispatch/tests/ways.rs
+++ b/crates/dispatch/tests/ways.rs
@@ -59,7 +59,7 @@
 fn export_with_a_long_aim_stays_in_its_zone() {
     let export = placement::Need {
         work_ms: 170.0,
-        answer_kb: 90.0,
+        moved_kb: 90.0,
         crowded_factor: 1.7,
         aim_ms: 1_200.0,
     };
@@ -71,7 +71,7 @@
 fn lookup_goes_to_a_quick_server_of_another_region() {
     let lookup = placement::Need {
         work_ms: 90.0,
-        answer_kb: 1.5,
+        moved_kb: 1.5,
         crowded_factor: 1.7,
         aim_ms: 250.0,
     };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -198,7 +198,7 @@
         let service = position?;
         let need = placement::Need {
             work_ms: self.route.estimate.work_ms(),
-            answer_kb: self.route.estimate.answer_kb(),
+            moved_kb: self.sent_kb() + self.route.estimate.answer_kb(),
             crowded_factor: self.route.estimate.crowded_factor(),
             aim_ms: self.route.spec.aim.0 as f64,
         };
@@ -239,6 +239,15 @@
         lookout
     }
 
+    /// Returns the size of the body in kilobytes, as far as it was read.
+    fn sent_kb(&self) -> f64 {
+        let held = self
+            .payload
+            .as_ref()
+            .map_or(0, |payload| payload.held.len());
+        held as f64 / 1_000.0
+    }
+
     fn time(&self, call: &call::Call<'_>) -> admission::Time {
         let passed = self.waited + call.passed();
         admission::Time {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -76,16 +76,18 @@
     wanted: &Wanted<'_>,
 ) -> Result<Placed, Refused> {
     let service = &table.services[wanted.service];
-    for asked_count in ASKED_COUNTS {
-        let ranked = rank(shared, service, wanted);
-        if !ask(shared, service, &ranked[..asked_count.min(ranked.len())]).await {
-            break;
+    for (round, asked_count) in ASKED_COUNTS.into_iter().enumerate() {
+        let mut ranked = rank(shared, service, wanted);
+        if round == 0 {
+            nearest_only(&mut ranked);
         }
+        ranked.truncate(asked_count);
+        let is_news = ask(shared, service, &ranked).await;
         let ranked = rank(shared, service, wanted);
         let is_good = |(_, prediction): &(sync::Arc<backend::Backend>, placement::Prediction)| {
             prediction.stretch_percent < hedge::QUIET_PERCENT && prediction.has_room
         };
-        if ranked.first().is_some_and(is_good) {
+        if ranked.first().is_some_and(is_good) || (round > 0 && !is_news) {
             break;
         }
     }
@@ -95,6 +97,15 @@
     pick(shared, ranked, wanted)
 }
 
+/// Leaves out the servers that are further away than the best one: health checks are billed between
+/// zones, and mostly a near server is good enough.
+fn nearest_only(ranked: &mut Ranked) {
+    if let Some((best, _)) = ranked.first() {
+        let distance = best.distance;
+        ranked.retain(|(backend, _)| backend.distance <= distance);
+    }
+}
+
 fn pick(shared: &live::Shared, ranked: Ranked, wanted: &Wanted<'_>) -> Result<Placed, Refused> {
     let mut rng = shared.rng();
     let Some((_, best)) = ranked.first() else {
