Let requests go further for a quick server, and kilobytes less far

Cause: a lookup of one kilobyte was kept near as if it cost a fifth of its aim, an export of 90 KB between zones as if it cost less than one.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,12 +46,12 @@
     },
     region: placement::Way {
         rtt_ms: 3.0,
-        aims: 0.07,
-        aims_per_kb: 0.01,
+        aims: 0.05,
+        aims_per_kb: 0.02,
     },
     far: placement::Way {
         rtt_ms: 17.0,
-        aims: 0.2,
-        aims_per_kb: 0.027,
+        aims: 0.1,
+        aims_per_kb: 0.03,
     },
 };
