nutmegctl explain: what log files of several processes say of one request

Cause: people on call had to search the logs of all processes by hand for a request and its servers.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -23,7 +23,8 @@
     error_code(5, "The change is accepted but not in force everywhere in time."),
     error_code(6, "The audit found violations."),
     error_code(7, "The token is not one of an operator."),
-    error_code(8, "A control process refused the request.")
+    error_code(8, "A control process refused the request."),
+    error_code(9, "No log names the request.")
 )]
 pub(crate) struct Args {
     /// admin addresses of control processes, as IP:PORT,IP:PORT
@@ -59,6 +60,21 @@
     Replicas(Replicas),
     Dump(Dump),
     Audit(Audit),
+    Explain(Explain),
+}
+
+/// Print what log files say of one request: its own line, what its process learned before, and what
+/// was noted of the servers that it was sent to. No process is asked.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Explain {
+    /// identifier of the request
+    #[argh(positional)]
+    pub(crate) id: String,
+
+    /// log files of entry processes, or - for standard input
+    #[argh(positional)]
+    pub(crate) files: Vec<String>,
 }
 
 /// Apply a change. The file holds one step, a list of steps, or an object with "ops" and, if
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -25,6 +25,8 @@
     Token = 7,
     /// A control process refused the request.
     Refused = 8,
+    /// No log names the request.
+    NotFound = 9,
 }
 
 /// Failure of a command.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,6 +9,7 @@
 mod change;
 mod client;
 mod exit;
+mod explain;
 mod print;
 mod read;
 mod replicas;
@@ -46,7 +47,10 @@
     out: &mut dyn Write,
     notes: &mut dyn Write,
 ) -> exit::Result<Exit> {
-    let client = client::Client::new(args)?;
+    let client = match &args.command {
+        args::Command::Explain(explain) => return explain::run(explain, args.json, out),
+        _ => client::Client::new(args)?,
+    };
     let mut cx = exit::Context {
         client,
         is_json: args.json,
@@ -68,5 +72,6 @@
         args::Command::Replicas(replicas) => replicas::run(&mut cx, &replicas.action).await,
         args::Command::Dump(_) => read::dump(&mut cx).await,
         args::Command::Audit(_) => read::audit(&mut cx).await,
+        args::Command::Explain(_) => unreachable!("it asks no process and returned above"),
     }
 }
