--- a/crates/dispatch/src/hedge.rs
+++ b/crates/dispatch/src/hedge.rs
@@ -6,6 +6,7 @@
 //! the aim, the server is therefore asked how quick it is now. Without such a sign a second send
 //! waits until the answer is later than usual, since second sends are bounded and take slots.
 
+use crate::placement;
 use nutmegdale_base::clock;
 
 /// Factor on the usual work after which an answer is late enough for a second send.
@@ -23,6 +24,13 @@
 /// Time that is kept free for the way back to the caller, in milliseconds.
 const MARGIN_MS: f64 = 10.0;
 
+/// Returns whether a second send to the server of `best` is worth its slot, with `left` until the
+/// deadline: on a quiet VM with room, so that it slows nobody down. In a rush few servers are like
+/// that, and a slot that a second send takes there costs another request its aim.
+pub fn is_worth(best: &placement::Prediction, left: clock::Millis) -> bool {
+    best.stretch_percent <= QUIET_PERCENT && best.has_room && best.answer_ms < left.0 as f64
+}
+
 /// Request that was sent and has no answer.
 #[derive(Debug, Clone, Copy)]
 pub struct Waiting {
--- a/crates/dispatch/tests/hedge.rs
+++ b/crates/dispatch/tests/hedge.rs
@@ -2,7 +2,7 @@
 
 use nutmegdale_base::rng::Rng;
 use nutmegdale_base::{clock, rng};
-use nutmegdale_dispatch::hedge;
+use nutmegdale_dispatch::{hedge, placement};
 
 const WORK_MS: f64 = 210.0;
 const AIM_MS: u64 = 500;
@@ -130,3 +130,24 @@
     assert!(!waiting.is_stuck(clock::Millis(100), NOISY_PERCENT));
     assert!(waiting.is_stuck(clock::Millis(1_000), NOISY_PERCENT));
 }
+
+/// Guards against second sends in a rush, which take the last slots of quiet servers and slow down
+/// the requests that run there.
+#[test]
+fn second_send_takes_no_last_slot() {
+    let best = |busy: u32, stretch_percent: f64| placement::Prediction {
+        answer_ms: WORK_MS,
+        reported_ms: WORK_MS,
+        cost_ms: WORK_MS,
+        age: Some(clock::Millis::ZERO),
+        stretch_percent,
+        busy,
+        has_room: busy < 2,
+        slots: 3,
+    };
+    let left = clock::Millis(900);
+    assert!(hedge::is_worth(&best(1, 100.0), left));
+    assert!(!hedge::is_worth(&best(2, 100.0), left));
+    assert!(!hedge::is_worth(&best(0, NOISY_PERCENT), left));
+    assert!(!hedge::is_worth(&best(0, 100.0), clock::Millis(100)));
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -257,10 +257,7 @@
     }
 
     fn is_worth_hedging(&self, placed: &place::Placed, call: &call::Call<'_>) -> bool {
-        let prediction = &placed.prediction;
-        prediction.stretch_percent <= hedge::QUIET_PERCENT
-            && prediction.busy < placed.backend.announcement.slots
-            && prediction.answer_ms < call.left().0 as f64
+        hedge::is_worth(&placed.prediction, call.left())
             && !placed.backend.is_cold(call.shared.clock.now())
     }
 
