--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod class;
 pub mod clock;
+pub mod digest;
 pub mod entity;
 pub mod header;
 pub mod outcome;
--- a/crates/coordinator/src/gossip.rs
+++ b/crates/coordinator/src/gossip.rs
@@ -1,11 +1,11 @@
 //! What coordinators tell each other besides the replicated log.
 
 use crate::{entries, repair};
-use nutmegdale_base::clock;
+use nutmegdale_base::{clock, digest};
 use nutmegdale_consensus::types;
 use serde::{Deserialize, Serialize};
 use std::collections;
-use std::hash::{Hash, Hasher};
+
 use std::net;
 
 /// Message of one coordinator to another.
@@ -152,11 +152,9 @@
 
     /// Returns a number that two tables of coordinators share only if they name the same ones.
     pub fn digest(&self, now: clock::Millis) -> u64 {
-        let mut hasher = collections::hash_map::DefaultHasher::new();
-        for sender in self.live(now) {
-            (sender.address, &sender.zone).hash(&mut hasher);
-        }
-        hasher.finish()
+        let live = self.live(now);
+        let named: Vec<_> = live.map(|sender| (sender.address, &sender.zone)).collect();
+        digest::of(&named)
     }
 
     /// Returns the coordinators that were heard of, for repairs.
--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -6,8 +6,7 @@
 //! many processes have a rank as the bound allows.
 
 use nutmegdale_base::rng::Rng;
-use nutmegdale_base::{clock, rng};
-use std::hash::Hasher;
+use nutmegdale_base::{clock, digest, rng};
 use std::sync::atomic;
 
 /// Time between two requests of one process to one cold server. It exceeds the second of the bound
@@ -46,12 +45,9 @@
 impl<'a> Ranked<'a> {
     /// Creates the view of a process or server.
     pub fn new(name: &str, zone: &'a str) -> Ranked<'a> {
-        // The standard library's hasher has fixed keys here, so that every process ranks alike.
-        let mut hasher = std::collections::hash_map::DefaultHasher::new();
-        hasher.write(name.as_bytes());
         Ranked {
             zone,
-            hash: hasher.finish(),
+            hash: digest::of(name),
         }
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,7 +1,7 @@
 //! Follows the registry at one coordinator at a time.
 
 use crate::{live, metrics, table};
-use nutmegdale_base::clock;
+use nutmegdale_base::{clock, digest};
 use nutmegdale_registry::{config, follow};
 use std::net;
 use std::sync;
@@ -213,9 +213,5 @@
 
 /// Returns a number that spreads processes over coordinators at the same distance.
 fn spread(name: &str, address: net::SocketAddr) -> u64 {
-    use std::hash::{Hash, Hasher};
-    let mut hasher = std::collections::hash_map::DefaultHasher::new();
-    name.hash(&mut hasher);
-    address.hash(&mut hasher);
-    hasher.finish()
+    digest::of(&(name, address))
 }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,11 +1,10 @@
 //! What the path of a request reads: routes, services and servers in force.
 
 use crate::{backend, settings};
-use nutmegdale_base::clock;
+use nutmegdale_base::{clock, digest};
 use nutmegdale_dispatch::{budget, cold, estimate, placement, split};
 use nutmegdale_registry::{config, follow, server};
 use std::collections;
-use std::hash::{Hash, Hasher};
 use std::sync;
 
 /// Part of a server's connections that all processes use together, in percent; the rest covers
@@ -300,9 +299,8 @@
             estimate.or_insert_with(|| sync::Arc::new(estimate::Estimate::new(spec.class)));
         let own = &self.settings.entry.name;
         let turns = self.turns.entry(spec.name.clone()).or_insert_with(|| {
-            let mut hasher = collections::hash_map::DefaultHasher::new();
-            (own, &spec.name).hash(&mut hasher);
-            sync::Arc::new(split::Turns::new(hasher.finish()))
+            let seed = digest::of(&(own, &spec.name));
+            sync::Arc::new(split::Turns::new(seed))
         });
         Route {
             spec: spec.clone(),
@@ -321,11 +319,7 @@
 /// Marks the servers that this process goes to first: for each distance the same number, spread so
 /// that every server is first for as many processes as any other.
 fn prefer(own: &str, backends: &[sync::Arc<backend::Backend>]) {
-    let rank = |backend: &backend::Backend| {
-        let mut hasher = collections::hash_map::DefaultHasher::new();
-        (own, backend.id()).hash(&mut hasher);
-        hasher.finish()
-    };
+    let rank = |backend: &backend::Backend| digest::of(&(own, backend.id()));
     let mut ranked: Vec<_> = backends.iter().collect();
     ranked.sort_by_key(|backend| (backend.distance, rank(backend)));
     let mut taken = collections::HashMap::new();
--- a/crates/dispatch/tests/ways.rs
+++ b/crates/gateway/tests/ways.rs
@@ -2,24 +2,7 @@
 
 use nutmegdale_base::{clock, rng};
 use nutmegdale_dispatch::{health, placement, signal};
-
-const WAYS: placement::Ways = placement::Ways {
-    zone: placement::Way {
-        rtt_ms: 0.5,
-        aims: 0.0,
-        aims_per_kb: 0.0,
-    },
-    region: placement::Way {
-        rtt_ms: 3.0,
-        aims: 0.05,
-        aims_per_kb: 0.02,
-    },
-    far: placement::Way {
-        rtt_ms: 17.0,
-        aims: 0.1,
-        aims_per_kb: 0.03,
-    },
-};
+use nutmegdale_gateway::settings;
 
 /// Returns the distance that is picked when the server of the zone is seven times slower.
 fn picked(need: placement::Need) -> placement::Distance {
@@ -49,7 +32,7 @@
         })
         .collect();
     let mut rng = rng::SplitMix64::new(1);
-    let ranked = placement::rank(now, &candidates, need, &WAYS, &mut rng);
+    let ranked = placement::rank(now, &candidates, need, &settings::WAYS, &mut rng);
     distances[ranked[0].0]
 }
 
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -3,7 +3,7 @@
 use crate::document;
 use crate::feed;
 use crate::server;
-use nutmegdale_base::clock;
+use nutmegdale_base::{clock, digest};
 use serde::{Deserialize, Serialize};
 use std::collections;
 use std::net;
@@ -68,11 +68,7 @@
 
 /// Returns a number that two lists of entry processes share only if they are equal.
 pub fn digest(entries: &[Entry]) -> u64 {
-    use std::hash::{Hash, Hasher};
-    // This hasher has fixed keys, so that all processes of one build agree.
-    let mut hasher = collections::hash_map::DefaultHasher::new();
-    entries.hash(&mut hasher);
-    hasher.finish()
+    digest::of(entries)
 }
 
 /// Server as a follower holds it.
