Take an answer that comes while a server for a hedge is looked for

Cause: looking for the server of a hedge takes up to three round trips between regions, and answers of sends under way were not looked at meanwhile. Change: the search is dropped when a send ends.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -57,6 +57,14 @@
     waited: clock::Millis,
 }
 
+/// Service of one more send, in the table in force.
+struct Target {
+    table: sync::Arc<table::Table>,
+    service: usize,
+}
+
+type Found = Result<place::Placed, place::Refused>;
+
 /// How a request goes on.
 enum Step {
     /// With the sends under way.
@@ -121,7 +129,7 @@
     /// Sends the request, again where that is allowed, and returns its final answer.
     pub(crate) async fn run(mut self, call: &mut call::Call<'_>) -> call::Final {
         let mut sendings: FuturesUnordered<Sending> = FuturesUnordered::new();
-        let mut lookout = self.start(call, &mut sendings, false).await;
+        let mut lookout = self.start(call, &mut sendings).await;
         loop {
             if sendings.is_empty() {
                 return self.settle(call);
@@ -135,14 +143,16 @@
                 }
                 Event::Hedge(sign) => {
                     call.trail.hedged(call.passed(), sign);
-                    self.hedge(call, &mut sendings, &mut lookout).await;
-                    Step::Wait
+                    match self.hedge(call, &mut sendings, &mut lookout).await {
+                        Some(sent) => self.take(call, sent, sendings.is_empty()),
+                        None => Step::Wait,
+                    }
                 }
             };
             match step {
                 Step::Wait => {}
                 Step::Done(decided) => return decided,
-                Step::Again => lookout = self.start(call, &mut sendings, false).await,
+                Step::Again => lookout = self.start(call, &mut sendings).await,
             }
         }
     }
@@ -162,15 +172,23 @@
         call.not_run(reason, after)
     }
 
-    /// Starts a hedge; where that cannot be done now, it is tried again a few times.
+    /// Starts a hedge; where that cannot be done now, it is tried again a few times. Returns a send
+    /// that ended while a server was looked for.
     async fn hedge(
         &mut self,
         call: &mut call::Call<'_>,
         sendings: &mut FuturesUnordered<Sending>,
         lookout: &mut Option<lookout::Lookout>,
-    ) {
+    ) -> Option<send::Sent> {
         let before = self.writes_count;
-        self.start(call, sendings, true).await;
+        if let Some(target) = self.target(call) {
+            let found = tokio::select! {
+                biased;
+                Some(sent) = sendings.next() => return Some(sent),
+                found = self.find(call, &target) => found,
+            };
+            self.launch(call, sendings, &target, found, true);
+        }
         self.hedge_tries_count += 1;
         self.hedged = self.writes_count > before || self.hedge_tries_count >= HEDGE_TRIES_MAX_COUNT;
         match lookout {
@@ -179,6 +197,7 @@
             }
             _ => *lookout = None,
         }
+        None
     }
 
     /// Starts one more send, if a server and the budget allow; returns the lookout for a hedge.
@@ -186,16 +205,25 @@
         &mut self,
         call: &mut call::Call<'_>,
         sendings: &mut FuturesUnordered<Sending>,
-        is_hedge: bool,
     ) -> Option<lookout::Lookout> {
+        let target = self.target(call)?;
+        let found = self.find(call, &target).await;
+        self.launch(call, sendings, &target, found, false)
+    }
+
+    /// Returns where one more send may go, as far as the bound of sends allows.
+    fn target(&self, call: &call::Call<'_>) -> Option<Target> {
         if self.writes_count >= self.route.spec.sends_max {
             return None;
         }
-        let shared = call.shared;
         // What is in force may have changed since the request came.
-        let table = shared.table.load_full();
+        let table = call.shared.table.load_full();
         let position = table.services.iter().position(|s| s.spec.name == self.name);
-        let service = position?;
+        position.map(|service| Target { table, service })
+    }
+
+    /// Finds the server of one more send.
+    async fn find(&mut self, call: &call::Call<'_>, target: &Target) -> Found {
         let need = placement::Need {
             work_ms: self.route.estimate.work_ms(),
             moved_kb: self.sent_kb() + self.route.estimate.answer_kb(),
@@ -203,13 +231,26 @@
             aim_ms: self.route.spec.aim.0 as f64,
         };
         let wanted = place::Wanted {
-            service,
+            service: target.service,
             need,
             homes: &self.route.spec.home_regions,
             tried: &self.tried,
             time: self.time(call),
         };
-        let placed = match place::place(shared, &table, &wanted).await {
+        place::place(call.shared, &target.table, &wanted).await
+    }
+
+    /// Sends to the server that was found, if the budget allows.
+    fn launch(
+        &mut self,
+        call: &mut call::Call<'_>,
+        sendings: &mut FuturesUnordered<Sending>,
+        target: &Target,
+        found: Found,
+        is_hedge: bool,
+    ) -> Option<lookout::Lookout> {
+        let shared = call.shared;
+        let placed = match found {
             Ok(placed) => placed,
             Err(refused) => {
                 call.trail.refused(call.passed(), &refused);
@@ -223,7 +264,7 @@
             call.trail.ended(call.passed(), "no-quiet-server");
             return None;
         }
-        if self.writes_count > 0 && !self.spend(shared, &table, service) {
+        if self.writes_count > 0 && !self.spend(shared, &target.table, target.service) {
             call.trail.ended(call.passed(), "over-budget");
             return None;
         }
@@ -233,7 +274,7 @@
                 false => &shared.metrics.retries,
             });
         }
-        let path = &table.services[service].spec.health_path;
+        let path = &target.table.services[target.service].spec.health_path;
         let lookout = self.lookout(call, &placed, path);
         self.send(call, sendings, placed);
         lookout
--- a/crates/gateway/tests/front.rs
+++ b/crates/gateway/tests/front.rs
@@ -29,6 +29,24 @@
     }
 }
 
+/// Guards against an answer that waits until a server for a hedge is found, which takes up to three
+/// round trips between regions.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_does_not_wait_for_a_hedge() {
+    let behaviours = [Behaviour::Late; 4];
+    let mut shortest = time::Duration::MAX;
+    for _ in 0..4 {
+        // Later requests of a scene know how long these servers take.
+        let scene = stub::Scene::start(class::Class::UrgentLookup, &behaviours).await;
+        let begin = time::Instant::now();
+        let answer = scene.ask("r").await;
+        assert_eq!(answer.status, 200);
+        shortest = shortest.min(begin.elapsed());
+    }
+    // Three rounds of health checks in vain before the send, and the server's 240 ms.
+    assert!(shortest < time::Duration::from_millis(410), "{shortest:?}");
+}
+
 /// Guards against a one-time request that is sent again after its answer was lost.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn one_time_request_is_not_repeated_after_a_broken_answer() {
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -216,7 +216,10 @@
             sequence: 1,
             service: "service".to_owned(),
             address: server::start(*behaviour, sync::Arc::clone(log)).await,
-            zone: "zone".to_owned(),
+            zone: match behaviour {
+                Behaviour::Late => "far".to_owned(),
+                _ => "zone".to_owned(),
+            },
             slots: 4,
             state: registry::State::Ready,
             cold_left: clock::Millis::ZERO,
@@ -238,7 +241,9 @@
             zone: "zone".to_owned(),
             region: "region".to_owned(),
         },
-        regions: [("zone".to_owned(), "region".to_owned())].into(),
+        regions: [("zone", "region"), ("far", "elsewhere")]
+            .map(|(zone, region)| (zone.to_owned(), region.to_owned()))
+            .into(),
         bounds: settings::Bounds {
             retries: budget::Bound {
                 ratio: 1.0,
--- a/crates/gateway/tests/stub/server.rs
+++ b/crates/gateway/tests/stub/server.rs
@@ -30,6 +30,8 @@
     CutShort,
     /// With an encoding that was not asked for.
     Encoded,
+    /// With a whole answer after a while, from a far region, and to no health check.
+    Late,
     /// Not at all.
     Hang,
 }
@@ -80,6 +82,9 @@
     req: hyper::Request<body::Incoming>,
 ) -> Result<hyper::Response<listen::Body>, Broken> {
     if req.uri().path() == "/health" {
+        if matches!(behaviour, Behaviour::Late) {
+            std::future::pending::<()>().await;
+        }
         return Ok(hyper::Response::new(listen::full("")));
     }
     let id = req.headers()["id"].to_str().expect("a plain id").to_owned();
@@ -90,6 +95,10 @@
     let answer = match behaviour {
         Behaviour::BreakOff => return Err(Broken),
         Behaviour::Answer => signed.header("id", &id).body(body()),
+        Behaviour::Late => {
+            tokio::time::sleep(time::Duration::from_millis(240)).await;
+            signed.header("id", &id).body(body())
+        }
         Behaviour::SlowFailure => {
             tokio::time::sleep(time::Duration::from_millis(120)).await;
             signed.header("id", &id).status(500).body(body())
