--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -86,13 +86,22 @@
         }
         let mut process = process::lock(&self.entry[n]);
         if process.is_running() {
-            self.ledger
-                .broken(format!("entry-{n} does not end within {GRACE_MS} ms"));
             process.kill();
+            if !self.was_disturbed(n, from) {
+                let text = format!("entry-{n} does not end within {GRACE_MS} ms");
+                self.ledger.broken(text);
+            }
         }
         process.start(&*self.wire)
     }
 
+    /// Returns whether an entry process was disturbed after `from`.
+    fn was_disturbed(&self, n: usize, from: time::Instant) -> bool {
+        let seen = self.ledger.seen();
+        let mut faults = seen.entry_faults.iter();
+        faults.any(|(entry, span)| *entry == n && span.to >= from)
+    }
+
     async fn pause_entry(&self, n: usize, ms: u64) -> io::Result<()> {
         let from = time::Instant::now();
         process::lock(&self.entry[n]).pause(true);
@@ -109,8 +118,12 @@
         change: impl FnOnce(&mut process::Process) -> io::Result<()>,
     ) -> io::Result<()> {
         let from = time::Instant::now();
-        process::lock(&self.control[n]).kill();
-        change(&mut process::lock(&self.control[n]))?;
+        {
+            // Another step must not start it in between.
+            let mut process = process::lock(&self.control[n]);
+            process.kill();
+            change(&mut process)?;
+        }
         self.note_control(from);
         tokio::time::sleep(span(RESTART_MS)).await;
         process::lock(&self.control[n]).start(&*self.wire)?;
