--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -67,22 +67,22 @@
         match name {
             follow::SYNC => Some(Box::pin(async move {
                 let req: follow::SyncRequest = server::decode(&body)?;
-                server::encode(&operations.sync(req).await)
+                server::encode_compact(&operations.sync(req).await)
             })),
             GOSSIP => Some(Box::pin(async move {
                 let message: gossip::Message = server::decode(&body)?;
-                server::encode(&rounds.hear(message))
+                server::encode_compact(&rounds.hear(message))
             })),
             COMMAND => Some(Box::pin(async move {
                 let cmd: Command = server::decode(&body)?;
-                server::encode(&Answer::of(operations.propose_here(cmd.body).await))
+                server::encode_compact(&Answer::of(operations.propose_here(cmd.body).await))
             })),
             READ => Some(Box::pin(async move {
                 let unavailable = |err: handle::ProposeError| {
                     (hyper::StatusCode::SERVICE_UNAVAILABLE, err.to_string())
                 };
                 operations.confirm().await.map_err(unavailable)?;
-                server::encode(&operations.local())
+                server::encode_compact(&operations.local())
             })),
             _ => self.host.call(name, body),
         }
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -118,7 +118,7 @@
             Err(handle::ProposeError::NotLeader {
                 leader: Some(leader),
             }) => {
-                let reply = self.client.call(leader, calls::READ, &(), CALL_MS);
+                let reply = self.client.call_compact(leader, calls::READ, &(), CALL_MS);
                 reply
                     .await
                     .map_err(|err| Error::Unavailable(err.to_string()))
@@ -226,7 +226,9 @@
                 leader: Some(leader),
             }) => {
                 let body = calls::Command { body };
-                let reply = self.client.call(leader, calls::COMMAND, &body, CALL_MS);
+                let reply = self
+                    .client
+                    .call_compact(leader, calls::COMMAND, &body, CALL_MS);
                 reply
                     .await
                     .map_err(|err| Error::Unavailable(err.to_string()))?
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -151,7 +151,7 @@
         listed: Vec<(follow::Entry, bool)>,
     ) {
         let client = &self.operations.client;
-        let call = client.call(target, calls::GOSSIP, &message, GOSSIP_MS);
+        let call = client.call_compact(target, calls::GOSSIP, &message, GOSSIP_MS);
         let reply: error::Result<gossip::Reply> = call.await;
         let now = self.operations.clock.now();
         let mut table = self.operations.table();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -130,7 +130,7 @@
         let call = self
             .shared
             .client
-            .call(target, follow::SYNC, &req, HOLD_MS + ANSWER_MS);
+            .call_compact(target, follow::SYNC, &req, HOLD_MS + ANSWER_MS);
         let reply: nutmegdale_rpc::error::Result<follow::SyncReply> = tokio::select! {
             reply = call => reply,
             // Others have to learn at once that this process is about to leave.
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -54,16 +54,33 @@
         Client::decode(&reply)
     }
 
-    /// Encodes a body for [`Client::call_bytes`], for callers that count its bytes.
+    /// As [`Client::call`], with a body without the names of its fields: for lists of servers and
+    /// processes, which are most of what processes tell each other. It is only for types that always
+    /// write all their fields; one that is added later stands last and has a default.
+    ///
+    /// # Errors
     ///
-    /// Fields go without their names, since the lists of servers and processes are most of what
-    /// processes tell each other. A field that is added later stands last and has a default.
+    /// As [`Client::call`].
+    pub async fn call_compact<Q: Serialize + Sync, A: de::DeserializeOwned>(
+        &self,
+        peer: net::SocketAddr,
+        name: &str,
+        body: &Q,
+        timeout: clock::Millis,
+    ) -> error::Result<A> {
+        let body = rmp_serde::to_vec(body);
+        let body = body.map_err(|err| error::Error::NotSent(err.to_string()))?;
+        let reply = self.call_bytes(peer, name, body, timeout).await?;
+        Client::decode(&reply)
+    }
+
+    /// Encodes a body for [`Client::call_bytes`], for callers that count its bytes.
     ///
     /// # Errors
     ///
     /// Nothing was sent.
     pub fn encode<Q: Serialize>(body: &Q) -> error::Result<Vec<u8>> {
-        rmp_serde::to_vec(body).map_err(|err| error::Error::NotSent(err.to_string()))
+        rmp_serde::to_vec_named(body).map_err(|err| error::Error::NotSent(err.to_string()))
     }
 
     /// Decodes an answer of [`Client::call_bytes`].
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -114,6 +114,19 @@
 ///
 /// Refuses a value that the codec cannot encode.
 pub fn encode<T: serde::Serialize>(value: &T) -> Reply {
-    rmp_serde::to_vec(value)
-        .map_err(|err| (hyper::StatusCode::INTERNAL_SERVER_ERROR, err.to_string()))
+    rmp_serde::to_vec_named(value).map_err(unencoded)
+}
+
+/// Encodes the answer to a call without the names of its fields, as
+/// [`crate::client::Client::call_compact`] does.
+///
+/// # Errors
+///
+/// Refuses a value that the codec cannot encode.
+pub fn encode_compact<T: serde::Serialize>(value: &T) -> Reply {
+    rmp_serde::to_vec(value).map_err(unencoded)
+}
+
+fn unencoded(err: rmp_serde::encode::Error) -> (hyper::StatusCode, String) {
+    (hyper::StatusCode::INTERNAL_SERVER_ERROR, err.to_string())
 }
