--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -114,7 +114,7 @@
 ///
 /// Refuses a value that the codec cannot encode.
 pub fn encode<T: serde::Serialize>(value: &T) -> Reply {
-    rmp_serde::to_vec_named(value).map_err(unencoded)
+    rmp_serde::to_vec_named(value).map_err(|err| unencoded(&err))
 }
 
 /// Encodes the answer to a call without the names of its fields, as
@@ -124,9 +124,9 @@
 ///
 /// Refuses a value that the codec cannot encode.
 pub fn encode_compact<T: serde::Serialize>(value: &T) -> Reply {
-    rmp_serde::to_vec(value).map_err(unencoded)
+    rmp_serde::to_vec(value).map_err(|err| unencoded(&err))
 }
 
-fn unencoded(err: rmp_serde::encode::Error) -> (hyper::StatusCode, String) {
+fn unencoded(err: &rmp_serde::encode::Error) -> (hyper::StatusCode, String) {
     (hyper::StatusCode::INTERNAL_SERVER_ERROR, err.to_string())
 }
