--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -5,8 +5,8 @@
 //! seeing each other's. Each test states what the policy must gain over a baseline.
 
 use nutmegdale_base::rng::Rng;
-use nutmegdale_base::{clock, rng};
-use nutmegdale_dispatch::{admission, health, placement, signal};
+use nutmegdale_base::{class, clock, rng};
+use nutmegdale_dispatch::{admission, estimate, health, placement, signal};
 
 const WORK_MS: f64 = 90.0;
 const CROWDED_FACTOR: f64 = 1.7;
@@ -324,3 +324,46 @@
     }
     assert!((signal.slowness(now) - 1.0).abs() < f64::EPSILON);
 }
+
+/// Guards against a time in which every answer was slow, without a report that said so, after which
+/// all requests of a route are refused for good: refused requests bring no answers to learn from.
+#[test]
+fn requests_are_served_again_after_a_time_of_slow_answers() {
+    let estimate = estimate::Estimate::new(class::Class::UrgentLookup);
+    let signal = signal::Signal::default();
+    let health = health::Health::default();
+    for _ in 0..40 {
+        estimate.note(clock::Millis(800), 100, 1_500, estimate::Room::Free);
+    }
+    let mut rng = rng::SplitMix64::new(5);
+    // An idle server that reports no load, asked for ten seconds after that time.
+    let admitted = (0..100_u64).filter(|n| {
+        let now = clock::Millis(20_000 + n * 100);
+        let need = placement::Need {
+            work_ms: estimate.work_ms(),
+            moved_kb: 1.0,
+            crowded_factor: estimate.crowded_factor(),
+            aim_ms: AIM_MS as f64,
+        };
+        let candidate = placement::Candidate {
+            signal: &signal,
+            health: &health,
+            slots: SLOTS as u32,
+            distance: placement::Distance::Zone,
+            is_cold: false,
+            is_preferred: true,
+        };
+        let best = placement::predict(now, &candidate, need, &WAYS);
+        let time = admission::Time {
+            to_aim: clock::Millis(AIM_MS),
+            to_deadline: clock::Millis(DEADLINE_MS),
+        };
+        let decision = admission::decide(&best, need, time, &mut rng);
+        let is_admitted = decision == admission::Decision::Admit;
+        if is_admitted {
+            estimate.note(clock::Millis(90), 100, 1_500, estimate::Room::Free);
+        }
+        is_admitted
+    });
+    assert!(admitted.count() > 50);
+}
