--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -19,6 +19,10 @@
 const ZONE_OUT_MS: u64 = 7_000;
 /// Time after the acknowledgement that a zone is out from which no request reaches its servers.
 const EVACUATE_MS: u64 = 5_000;
+/// Tries to listen again at an address that was just freed.
+const BIND_TRIES_COUNT: u32 = 20;
+/// Time between two of these tries.
+const BIND_PAUSE_MS: u64 = 50;
 /// Time for the answer to the statement that a server leaves.
 const LEAVE_ANSWER_MS: u64 = 1_000;
 
@@ -234,7 +238,20 @@
         let place = &mut places[n];
         let (announced, listen) = (place.announced, place.listen);
         place.link.end().await;
-        place.link = link::Link::start(announced, listen, link::State::default()).await?;
-        Ok(())
+        for _ in 0..BIND_TRIES_COUNT {
+            let link = link::Link::start(announced, listen, link::State::default()).await;
+            match link {
+                Ok(link) => {
+                    place.link = link;
+                    return Ok(());
+                }
+                // The operating system frees the address a moment after the listener has ended.
+                Err(err) if err.kind() == io::ErrorKind::AddrInUse => {
+                    tokio::time::sleep(span(BIND_PAUSE_MS)).await;
+                }
+                Err(err) => return Err(err),
+            }
+        }
+        Err(io::Error::other(format!("{announced} stays in use")))
     }
 }
