--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -5,8 +5,8 @@
 use http_body_util::BodyExt;
 use hyper::client::conn::http1;
 use hyper_util::rt;
-use nutmegdale_base::rng;
 use nutmegdale_base::rng::Rng;
+use nutmegdale_base::{digest, rng};
 use std::collections;
 use std::net;
 use std::sync;
@@ -60,7 +60,7 @@
 /// Sends requests until `stop` turns true.
 pub async fn run(spec: Spec, stop: watch::Receiver<bool>) {
     let mut caller = Caller {
-        rng: rng::SplitMix64::new(spec.seed),
+        rng: rng::SplitMix64::new(digest::of(&(spec.seed, spec.number))),
         spec,
         known: Vec::new(),
         known_at: None,
