--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -7,8 +7,11 @@
 use std::process;
 use std::sync;
 
-/// Seeds of the short run, and those that ever failed, each with its cause.
-const SEEDS: [u64; 2] = [1, 2];
+/// Seeds of the short run, and those that ever failed:
+/// - 2012: the soak could not listen again at the address of a link that it had just reset;
+/// - 2018: all callers drew the same numbers and came to one process in the same moment; on a busy
+///   machine a route then refused everything after a time of slow answers (KNOWN-RED.txt).
+const SEEDS: [u64; 4] = [1, 2, 2012, 2018];
 
 /// Guards against promises that break while processes are killed, stopped, paused and lose their
 /// disks, and while links to servers fail.
