Start test clusters only once their entry processes listen

Ruled out: addresses shared with another test (each cluster reserves a network), the change to dispatch (this binary runs the product's mode). Change: Cluster::start waits until every entry takes connections. The new test starts entries 0.5 s late and failed before with the same refused connection.

--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -118,3 +118,30 @@
         .await;
     }
 }
+
+/// Guards against tests that call an entry process before it listens: a busy machine starts it some
+/// time after the control process has taken the first change.
+#[tokio::test]
+async fn cluster_is_started_once_its_entries_listen() {
+    use std::os::unix::fs::PermissionsExt;
+    let name = format!("nutmegdale-slow-start-{}", std::process::id());
+    let script = std::env::temp_dir().join(name);
+    let daemon = env!("CARGO_BIN_EXE_nutmegdale");
+    let text =
+        format!("#!/bin/sh\ncase \"$*\" in *entry*) sleep 0.5;; esac\nexec '{daemon}' \"$@\"\n");
+    std::fs::write(&script, text).expect("script can be written");
+    let mode = std::fs::Permissions::from_mode(0o700);
+    std::fs::set_permissions(&script, mode).expect("script can be made executable");
+    let plan = cluster::Plan {
+        program: script.clone(),
+        control: vec![PLACE],
+        entry: vec![PLACE, PLACE],
+    };
+    let cluster = cluster::Cluster::start(&plan);
+    let req = http::Request::get("/logs/hall-7", &[]);
+    for entry in &cluster.entry {
+        let answer = http::send(entry.entry(), &req).await;
+        assert!(answer.is_ok(), "{answer:?}");
+    }
+    std::fs::remove_file(&script).expect("script can be removed");
+}
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -8,6 +8,7 @@
 use std::net;
 use std::path;
 use std::process;
+use std::thread;
 use std::time;
 
 /// Port of callers and servers at an entry process.
@@ -18,6 +19,8 @@
 const CONTROL_PORT: u16 = 18090;
 /// Port of operators at a control process.
 const ADMIN_PORT: u16 = 18091;
+/// Longest time in which a process starts on a busy machine.
+const START_MAX: time::Duration = time::Duration::from_secs(20);
 /// Secret of the processes.
 pub(crate) const CLUSTER_TOKEN: &str = "cluster-token-for-tests";
 /// Token of the operator `tester`.
@@ -69,6 +72,17 @@
         self.child.as_ref().map(process::Child::id)
     }
 
+    /// Waits until an entry process takes connections: a busy machine starts it some time after the
+    /// catalogue can be changed, and a test that calls it sooner sees a refused connection.
+    fn await_listener(&self) {
+        let begin = time::Instant::now();
+        while let Err(err) = net::TcpStream::connect(self.entry()) {
+            let passed = begin.elapsed();
+            assert!(passed < START_MAX, "{} after {passed:?}: {err}", self.name);
+            thread::sleep(time::Duration::from_millis(5));
+        }
+    }
+
     /// Kills the process at once, as a loss of power does.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -178,6 +192,9 @@
             let daemon = cluster.start_daemon(&name, *ip, settings);
             cluster.entry.push(daemon);
         }
+        for daemon in &cluster.entry {
+            daemon.await_listener();
+        }
         cluster
     }
 
