Try a route's work again once it is in doubt, and know full servers by refusals

After a second of refusals although a server had room, one request is now admitted on trial, and the estimate weighs as much as the next answer. Cause of the second: a server that reports no load and refuses as full taught nothing, so both entries of a zone went on to it. Such a refusal now counts as all slots taken, less as what ran then ends. Ruled out: letting the estimate age by itself, since processes that see few requests of a route would forget what they know.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -18,6 +18,8 @@
 pub enum Decision {
     /// It goes to the best server.
     Admit,
+    /// The same, though it seems to need too long: what is known of its work is in doubt.
+    Try,
     /// It cannot be served in time; the caller should return after the given time.
     Refuse {
         /// Time to wait.
@@ -34,16 +36,18 @@
     pub to_deadline: clock::Millis,
 }
 
-/// Decides on a request, given the prediction for the best server.
+/// Decides on a request, given the prediction for the best server and whether what is known of the
+/// route's work is in doubt.
 ///
 /// Load pattern: more requests than the servers can work on. If each were admitted, all would wait
 /// and none would be answered within its aim. A request that can keep its aim is admitted; one that
 /// cannot takes only room that no other needs, and otherwise its caller is told at once when to
-/// return.
+/// return. An estimate in doubt is tried out where there is room.
 pub fn decide(
     best: &placement::Prediction,
     need: placement::Need,
     time: Time,
+    is_in_doubt: bool,
     rng: &mut dyn rng::Rng,
 ) -> Decision {
     let answer_ms = best.answer_ms + MARGIN_MS;
@@ -52,6 +56,9 @@
     if is_in_aim || (is_in_time && best.has_room) {
         return Decision::Admit;
     }
+    if is_in_doubt && best.has_room {
+        return Decision::Try;
+    }
     let free_ms = best.answer_ms - need.work_ms;
     let last_ms = time.to_aim.0 as f64 - need.work_ms - 2.0 * MARGIN_MS;
     let free_ms = match last_ms >= RETURN_MIN_MS {
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -24,6 +24,12 @@
 /// Largest factor that is believed.
 const CROWDED_MAX_FACTOR: f64 = 2.5;
 
+/// Answers that an estimate in doubt counts for: it weighs as much as the next answer.
+const RESTART_COUNT: u64 = 1;
+/// Time of refusals in a row, though servers had room, after which what is known of the work is in
+/// doubt: one request a second on trial is less than any route bears.
+const DOUBT_AFTER_MS: clock::Millis = clock::Millis(1_000);
+
 /// Room that a server had when a request was placed there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Room {
@@ -45,6 +51,8 @@
     crowded_count: atomic::AtomicU64,
     usual_wait_ms: atomic::AtomicU64,
     waits_count: atomic::AtomicU64,
+    /// Time of the first refusal since a request was admitted; 0 if there was none.
+    refused_ms: atomic::AtomicU64,
 }
 
 /// Size of an answer that is assumed before the first one, in bytes.
@@ -67,9 +75,43 @@
             crowded_count: atomic::AtomicU64::new(0),
             usual_wait_ms: atomic::AtomicU64::new(0),
             waits_count: atomic::AtomicU64::new(0),
+            refused_ms: atomic::AtomicU64::new(0),
+        }
+    }
+
+    /// Notes that a request was refused for its work alone, since its server had room.
+    pub fn refused(&self, now: clock::Millis) {
+        let order = atomic::Ordering::Relaxed;
+        if self.refused_ms.load(order) == 0 {
+            self.refused_ms.store(now.0.max(1), order);
         }
     }
 
+    /// Notes that a request was admitted.
+    pub fn admitted(&self) {
+        let order = atomic::Ordering::Relaxed;
+        // Mostly there is nothing to change, and a write would take the line from other threads.
+        if self.refused_ms.load(order) != 0 {
+            self.refused_ms.store(0, order);
+        }
+    }
+
+    /// Returns whether the work may be less than it seems: refused requests bring no answers, so
+    /// an estimate that refuses all of them never changes.
+    pub fn is_in_doubt(&self, now: clock::Millis) -> bool {
+        match self.refused_ms.load(atomic::Ordering::Relaxed) {
+            0 => false,
+            refused => now.since(clock::Millis(refused)) >= DOUBT_AFTER_MS,
+        }
+    }
+
+    /// Lets the next answers weigh as the first ones do.
+    pub fn restart(&self) {
+        let order = atomic::Ordering::Relaxed;
+        self.answers_count.store(RESTART_COUNT, order);
+        self.refused_ms.store(0, order);
+    }
+
     /// Notes an answer that took `span` at a server whose work took `stretch_percent` of its usual
     /// time. Answers of servers with a queue are left out, since they would count waiting as work.
     pub fn note(&self, span: clock::Millis, stretch_percent: u32, bytes: u64, room: Room) {
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -173,6 +173,7 @@
         }
         None => (own, STRETCH_UNKNOWN_PERCENT),
     };
+    let busy = busy.max(refused_busy(now, candidate, need));
     let slots = f64::from(candidate.slots.max(1));
     let taken = f64::from(busy + 1);
     let has_room = taken / slots <= CROWDED_SHARE;
@@ -213,6 +214,17 @@
     prediction
 }
 
+/// Returns the requests that are taken to be at a server that refused one as full: all of its slots
+/// at first, and fewer as what ran then ends.
+fn refused_busy(now: clock::Millis, candidate: &Candidate<'_>, need: Need) -> u32 {
+    let Some(since) = candidate.signal.full_since(now) else {
+        return 0;
+    };
+    let ends_ms = need.work_ms * STRETCH_UNKNOWN_PERCENT / 100.0;
+    let left = (1.0 - since.0 as f64 / ends_ms.max(1.0)).max(0.0);
+    (f64::from(candidate.slots) * left).ceil() as u32
+}
+
 /// Returns the predictions of `candidates` with their positions, the best first.
 pub fn rank(
     now: clock::Millis,
--- a/crates/dispatch/src/signal.rs
+++ b/crates/dispatch/src/signal.rs
@@ -56,6 +56,8 @@
     /// Time of answers relative to their prediction, in percent; 0 before the first one.
     slow_percent: atomic::AtomicU64,
     slow_at_ms: atomic::AtomicU64,
+    /// Time of the last refusal without a report; 0 before the first one.
+    full_at_ms: atomic::AtomicU64,
 }
 
 impl Signal {
@@ -110,6 +112,20 @@
         self.reported_ms.store(now.0, atomic::Ordering::Relaxed);
     }
 
+    /// Notes that the server refused a request as full and reported no load with it.
+    pub fn note_full(&self, now: clock::Millis) {
+        self.full_at_ms
+            .store(now.0.max(1), atomic::Ordering::Relaxed);
+    }
+
+    /// Returns the time since the server was full, unless a later report says what it does now.
+    pub fn full_since(&self, now: clock::Millis) -> Option<clock::Millis> {
+        let order = atomic::Ordering::Relaxed;
+        let full_at = self.full_at_ms.load(order);
+        let is_news = full_at > 0 && full_at >= self.reported_ms.load(order);
+        is_news.then(|| now.since(clock::Millis(full_at)))
+    }
+
     /// Returns the last report.
     pub fn last(&self, now: clock::Millis) -> Option<Aged> {
         let packed = self.report.load(atomic::Ordering::Relaxed);
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -174,7 +174,7 @@
         to_aim: clock::Millis(AIM_MS),
         to_deadline: clock::Millis(DEADLINE_MS),
     };
-    let decision = admission::decide(prediction, need, time, rng);
+    let decision = admission::decide(prediction, need, time, false, rng);
     let is_admitted = policy == Policy::PlacedOnly || decision == admission::Decision::Admit;
     is_admitted.then_some(*best)
 }
@@ -294,7 +294,7 @@
             to_aim: clock::Millis(AIM_MS),
             to_deadline: clock::Millis(DEADLINE_MS),
         };
-        let decision = admission::decide(&best, need, time, &mut rng);
+        let decision = admission::decide(&best, need, time, false, &mut rng);
         let admission::Decision::Refuse { after } = decision else {
             panic!("a request that cannot keep its aim takes no slot in a rush");
         };
@@ -358,8 +358,14 @@
             to_aim: clock::Millis(AIM_MS),
             to_deadline: clock::Millis(DEADLINE_MS),
         };
-        let decision = admission::decide(&best, need, time, &mut rng);
-        let is_admitted = decision == admission::Decision::Admit;
+        let is_in_doubt = estimate.is_in_doubt(now);
+        let decision = admission::decide(&best, need, time, is_in_doubt, &mut rng);
+        match decision {
+            admission::Decision::Admit => estimate.admitted(),
+            admission::Decision::Try => estimate.restart(),
+            admission::Decision::Refuse { .. } => estimate.refused(now),
+        }
+        let is_admitted = !matches!(decision, admission::Decision::Refuse { .. });
         if is_admitted {
             estimate.note(clock::Millis(90), 100, 1_500, estimate::Room::Free);
         }
@@ -367,3 +373,62 @@
     });
     assert!(admitted.count() > 50);
 }
+
+/// Guards against requests that go on to a full server nearby while others are idle: a server that
+/// reports no load says by its refusal alone that it is full.
+#[test]
+fn full_server_without_reports_is_passed_over_for_a_while() {
+    const FAR_WAY: placement::Way = placement::Way {
+        rtt_ms: 17.0,
+        aims: 0.1,
+        aims_per_kb: 0.03,
+    };
+    let ways = placement::Ways {
+        far: FAR_WAY,
+        ..WAYS
+    };
+    let signals = [signal::Signal::default(), signal::Signal::default()];
+    let health = health::Health::default();
+    let need = placement::Need {
+        work_ms: WORK_MS,
+        moved_kb: 1.5,
+        crowded_factor: CROWDED_FACTOR,
+        aim_ms: AIM_MS as f64,
+    };
+    let mut rng = rng::SplitMix64::new(6);
+    let mut best = |now| {
+        let distances = [placement::Distance::Zone, placement::Distance::Far];
+        let candidates: Vec<_> = signals
+            .iter()
+            .zip(distances)
+            .map(|(signal, distance)| placement::Candidate {
+                signal,
+                health: &health,
+                slots: SLOTS as u32,
+                distance,
+                is_cold: false,
+                is_preferred: true,
+            })
+            .collect();
+        placement::rank(now, &candidates, need, &ways, &mut rng)[0].0
+    };
+    let refused = clock::Millis(20_000);
+    assert_eq!(best(refused), 0);
+    signals[0].note_full(refused);
+    assert_eq!(best(refused + clock::Millis(5)), 1);
+    // What ran there then has ended.
+    assert_eq!(best(refused + clock::Millis(400)), 0);
+    signals[0].note_full(refused + clock::Millis(500));
+    let idle = signal::Report {
+        running: 0,
+        waiting: 0,
+        slots: SLOTS as u32,
+        stretch_percent: 100,
+    };
+    signals[0].note(refused + clock::Millis(501), idle, 0);
+    assert_eq!(
+        best(refused + clock::Millis(505)),
+        0,
+        "a later report counts"
+    );
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -233,6 +233,7 @@
         let wanted = place::Wanted {
             service: target.service,
             need,
+            estimate: &self.route.estimate,
             homes: &self.route.spec.home_regions,
             tried: &self.tried,
             time: self.time(call),
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -2,7 +2,7 @@
 
 use crate::{backend, live, probe, table};
 use nutmegdale_base::{clock, outcome};
-use nutmegdale_dispatch::{admission, hedge, placement};
+use nutmegdale_dispatch::{admission, estimate, hedge, placement};
 use std::sync;
 use std::time;
 
@@ -25,6 +25,8 @@
     pub service: usize,
     /// What the request needs.
     pub need: placement::Need,
+    /// What its route has learned of that.
+    pub estimate: &'a estimate::Estimate,
     /// Regions that it is bound to; empty if it is not.
     pub homes: &'a [String],
     /// Servers that had it already.
@@ -113,16 +115,24 @@
         return Err(Refused::new(outcome::Reason::NoServer, after));
     };
     let considered_count = ranked.len();
-    let decision = admission::decide(best, wanted.need, wanted.time, &mut rng);
-    if let admission::Decision::Refuse { after } = decision {
-        return Err(Refused {
-            reason: outcome::Reason::Overload,
-            after,
-            best: Some(*best),
-            considered_count,
-        });
-    }
     let now = shared.clock.now();
+    let estimate = wanted.estimate;
+    let is_in_doubt = estimate.is_in_doubt(now);
+    match admission::decide(best, wanted.need, wanted.time, is_in_doubt, &mut rng) {
+        admission::Decision::Admit => estimate.admitted(),
+        admission::Decision::Try => estimate.restart(),
+        admission::Decision::Refuse { after } => {
+            if best.has_room {
+                estimate.refused(now);
+            }
+            return Err(Refused {
+                reason: outcome::Reason::Overload,
+                after,
+                best: Some(*best),
+                considered_count,
+            });
+        }
+    }
     for (backend, prediction) in ranked {
         if backend.is_open() && backend.take(now) {
             backend.health.begin_trial(now);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -261,11 +261,12 @@
     if is_not_run {
         flight.is_over = true;
         // A server that is full refuses rightly; one with free slots fails.
-        if said
-            .report
-            .is_some_and(|report| report.running < report.slots)
-        {
-            flight.failed(health::Failure::Answer);
+        match said.report {
+            Some(report) if report.running < report.slots => {
+                flight.failed(health::Failure::Answer);
+            }
+            Some(_) => {}
+            None => send.backend.signal.note_full(flight.now()),
         }
         live::checkin(&send.backend, flight.now(), connection, &head.headers);
         return Sent::NotRun(outcome::Reason::ServerRefused, true);
