Ask servers at most once at a time, wait for answers, and prefer servers known now

Ruled out: noisy VMs of servers (checks of quiet ones take as long). Change: a choice waits 0.03 of the aim in each round, ends at a quiet idle server, and joins a health check that is under way; a server whose load is not known now costs up to half of the aim in the comparison.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -150,6 +150,13 @@
 /// Delay that is accepted to stay with the servers that this process goes to first, in parts of the
 /// request's aim: their load is known and their connections are open.
 const DETOUR_AIMS: f64 = 0.08;
+/// Age up to which a report tells the load, in milliseconds.
+const FRESH_MS: f64 = 30.0;
+/// Age from which a report tells nothing, in milliseconds: a request has begun or ended since.
+const STALE_MS: f64 = 200.0;
+/// Delay that is accepted to send to a server whose load is known, in parts of the request's aim:
+/// in a rush half as many requests to others keep it.
+const STALE_AIMS: f64 = 0.5;
 /// Servers of one service and distance that a process goes to first.
 pub const PREFERRED_COUNT: usize = 6;
 
@@ -225,12 +232,34 @@
     (f64::from(candidate.slots) * left).ceil() as u32
 }
 
+/// What candidates are compared for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// To ask the most promising ones for their load.
+    Ask,
+    /// To send the request.
+    Send,
+}
+
+/// Returns the delay that is accepted to send to a server whose load is known now.
+///
+/// Load pattern: a rush, in which the servers that look free are those of which nobody knows that
+/// they are full or slow. What was reported long ago says next to nothing then.
+fn stale_ms(prediction: &Prediction, need: &Need) -> f64 {
+    let share = match prediction.age {
+        Some(age) => (age.0 as f64 - FRESH_MS) / (STALE_MS - FRESH_MS),
+        None => 1.0,
+    };
+    share.clamp(0.0, 1.0) * STALE_AIMS * need.aim_ms
+}
+
 /// Returns the predictions of `candidates` with their positions, the best first.
 pub fn rank(
     now: clock::Millis,
     candidates: &[Candidate<'_>],
     need: Need,
     ways: &Ways,
+    purpose: Purpose,
     rng: &mut dyn rng::Rng,
 ) -> Vec<(usize, Prediction)> {
     let mut ranked: Vec<_> = candidates
@@ -239,7 +268,11 @@
         .map(|(n, candidate)| {
             let prediction = predict(now, candidate, need, ways);
             let jitter = 1.0 + SPREAD * (rng.below(1_000) as f64 / 1_000.0);
-            (n, prediction, prediction.cost_ms * jitter)
+            let stale_ms = match purpose {
+                Purpose::Ask => 0.0,
+                Purpose::Send => stale_ms(&prediction, &need),
+            };
+            (n, prediction, (prediction.cost_ms + stale_ms) * jitter)
         })
         .collect();
     ranked.sort_by(|a, b| a.2.total_cmp(&b.2));
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -38,6 +38,8 @@
     PlacedOnly,
     /// The best prediction, admitted by the decision under test.
     Admitted,
+    /// The same, where a report counts the same whatever its age.
+    AnyAge,
 }
 
 struct Running {
@@ -79,11 +81,28 @@
     slow: usize,
     /// Share of VMs that are seven times slower for a while.
     noisy: f64,
+    /// Share of health checks that are answered too late for the choice.
+    unanswered: f64,
+    /// Processes that place requests.
+    processes: usize,
+    /// Servers.
+    servers: usize,
 }
 
+/// Servers of one service near a few processes.
+const SMALL: Load = Load {
+    seed: 0,
+    per_s: 0.0,
+    slow: 0,
+    noisy: 0.0,
+    unanswered: 0.0,
+    processes: PROCESSES,
+    servers: SERVERS,
+};
+
 fn play(load: &Load, policy: Policy) -> Result {
     let mut rng = rng::SplitMix64::new(load.seed);
-    let mut servers: Vec<_> = (0..SERVERS)
+    let mut servers: Vec<_> = (0..load.servers)
         .map(|n| Server {
             running: Vec::new(),
             waiting: Vec::new(),
@@ -91,10 +110,13 @@
             base: if n < load.slow { 5.0 } else { 1.0 },
         })
         .collect();
-    let signals: Vec<Vec<signal::Signal>> = (0..PROCESSES)
-        .map(|_| (0..SERVERS).map(|_| signal::Signal::default()).collect())
+    let signals: Vec<Vec<signal::Signal>> = (0..load.processes)
+        .map(|_| {
+            (0..load.servers)
+                .map(|_| signal::Signal::default())
+                .collect()
+        })
         .collect();
-    let healths: Vec<_> = (0..SERVERS).map(|_| health::Health::default()).collect();
     let mut result = Result::default();
     let mut turn = 0;
     for ms in 0..20_000_u64 {
@@ -108,13 +130,13 @@
         if (rng.below(1_000_000) as f64) >= load.per_s * 1_000.0 {
             continue;
         }
-        let process = rng.below(PROCESSES as u64) as usize;
+        let process = rng.below(load.processes as u64) as usize;
         let own = &signals[process];
         let now = clock::Millis(ms);
         turn += 1;
         let chosen = match policy {
-            Policy::InTurn => Some(turn % SERVERS),
-            _ => choose(now, policy, &servers, own, &healths, &mut rng),
+            Policy::InTurn => Some(turn % load.servers),
+            _ => choose(now, policy, load, &servers, own, &mut rng),
         };
         let Some(n) = chosen else {
             result.refused += 1;
@@ -139,9 +161,9 @@
 fn choose(
     now: clock::Millis,
     policy: Policy,
+    load: &Load,
     servers: &[Server],
     own: &[signal::Signal],
-    healths: &[health::Health],
     rng: &mut rng::SplitMix64,
 ) -> Option<usize> {
     let need = placement::Need {
@@ -150,25 +172,24 @@
         crowded_factor: CROWDED_FACTOR,
         aim_ms: AIM_MS as f64,
     };
+    let health = health::Health::default();
     let candidates: Vec<_> = own
         .iter()
-        .zip(healths)
-        .map(|(signal, health)| placement::Candidate {
-            signal,
-            health,
-            slots: SLOTS as u32,
-            distance: placement::Distance::Zone,
-            is_cold: false,
-            is_preferred: true,
-        })
+        .map(|signal| candidate(signal, &health, placement::Distance::Zone))
         .collect();
     for _ in 0..2 {
-        let ranked = placement::rank(now, &candidates, need, &WAYS, rng);
+        let ranked = placement::rank(now, &candidates, need, &WAYS, placement::Purpose::Ask, rng);
         for (n, _) in ranked.iter().take(3) {
-            own[*n].note(now, servers[*n].report(), own[*n].inflight());
+            if (rng.below(1_000) as f64) >= load.unanswered * 1_000.0 {
+                own[*n].note(now, servers[*n].report(), own[*n].inflight());
+            }
         }
     }
-    let ranked = placement::rank(now, &candidates, need, &WAYS, rng);
+    let purpose = match policy {
+        Policy::AnyAge => placement::Purpose::Ask,
+        _ => placement::Purpose::Send,
+    };
+    let ranked = placement::rank(now, &candidates, need, &WAYS, purpose, rng);
     let (best, prediction) = ranked.first()?;
     let time = admission::Time {
         to_aim: clock::Millis(AIM_MS),
@@ -221,6 +242,7 @@
         per_s: 300.0,
         slow: 4,
         noisy: 0.25,
+        ..SMALL
     };
     let in_turn = share(&play(&load, Policy::InTurn));
     let placed = share(&play(&load, Policy::PlacedOnly));
@@ -232,14 +254,32 @@
     );
 }
 
+/// Guards against requests that go to servers of which only old reports are known, since those look
+/// free in a rush, while health checks of others were answered.
+#[test]
+fn rush_with_late_health_checks_goes_to_servers_that_are_known() {
+    let load = Load {
+        seed: 7,
+        per_s: 1_000.0,
+        slow: 6,
+        noisy: 0.25,
+        unanswered: 0.5,
+        processes: 80,
+        servers: 48,
+    };
+    let any_age = share(&play(&load, Policy::AnyAge));
+    let known = share(&play(&load, Policy::Admitted));
+    assert!(known > any_age + 0.005, "known {known} any age {any_age}");
+}
+
 /// Guards against noisy VMs that cost requests their aim while quiet ones have free slots.
 #[test]
 fn noise_is_avoided_at_usual_load() {
     let load = Load {
         seed: 2,
         per_s: 110.0,
-        slow: 0,
         noisy: 0.35,
+        ..SMALL
     };
     let in_turn = share(&play(&load, Policy::InTurn));
     let admitted = share(&play(&load, Policy::Admitted));
@@ -257,7 +297,7 @@
         seed: 3,
         per_s: 110.0,
         slow: SERVERS / 2,
-        noisy: 0.0,
+        ..SMALL
     };
     let in_turn = share(&play(&load, Policy::InTurn));
     let admitted = share(&play(&load, Policy::Admitted));
@@ -345,14 +385,7 @@
             crowded_factor: estimate.crowded_factor(),
             aim_ms: AIM_MS as f64,
         };
-        let candidate = placement::Candidate {
-            signal: &signal,
-            health: &health,
-            slots: SLOTS as u32,
-            distance: placement::Distance::Zone,
-            is_cold: false,
-            is_preferred: true,
-        };
+        let candidate = candidate(&signal, &health, placement::Distance::Zone);
         let best = placement::predict(now, &candidate, need, &WAYS);
         let time = admission::Time {
             to_aim: clock::Millis(AIM_MS),
@@ -401,16 +434,10 @@
         let candidates: Vec<_> = signals
             .iter()
             .zip(distances)
-            .map(|(signal, distance)| placement::Candidate {
-                signal,
-                health: &health,
-                slots: SLOTS as u32,
-                distance,
-                is_cold: false,
-                is_preferred: true,
-            })
+            .map(|(signal, distance)| candidate(signal, &health, distance))
             .collect();
-        placement::rank(now, &candidates, need, &ways, &mut rng)[0].0
+        let purpose = placement::Purpose::Ask;
+        placement::rank(now, &candidates, need, &ways, purpose, &mut rng)[0].0
     };
     let refused = clock::Millis(20_000);
     assert_eq!(best(refused), 0);
@@ -432,3 +459,54 @@
         "a later report counts"
     );
 }
+
+/// Guards against a request that goes to a server of which only an old report is known, because it
+/// looks free, while one with a free slot is known.
+#[test]
+fn server_that_is_known_now_goes_before_one_that_looked_free_long_ago() {
+    let signals = [signal::Signal::default(), signal::Signal::default()];
+    let health = health::Health::default();
+    let now = clock::Millis(20_000);
+    let report = |running| signal::Report {
+        running,
+        waiting: 0,
+        slots: SLOTS as u32,
+        stretch_percent: 100,
+    };
+    signals[0].note(now, report(2), 0);
+    signals[1].note(clock::Millis(19_600), report(0), 0);
+    let candidates: Vec<_> = signals
+        .iter()
+        .map(|signal| candidate(signal, &health, placement::Distance::Zone))
+        .collect();
+    let need = placement::Need {
+        work_ms: WORK_MS,
+        moved_kb: 1.5,
+        crowded_factor: CROWDED_FACTOR,
+        aim_ms: 500.0,
+    };
+    let mut rng = rng::SplitMix64::new(8);
+    let mut first =
+        |purpose| placement::rank(now, &candidates, need, &WAYS, purpose, &mut rng)[0].0;
+    assert_eq!(first(placement::Purpose::Send), 0);
+    assert_eq!(
+        first(placement::Purpose::Ask),
+        1,
+        "the other is worth asking"
+    );
+}
+
+fn candidate<'a>(
+    signal: &'a signal::Signal,
+    health: &'a health::Health,
+    distance: placement::Distance,
+) -> placement::Candidate<'a> {
+    placement::Candidate {
+        signal,
+        health,
+        slots: SLOTS as u32,
+        distance,
+        is_cold: false,
+        is_preferred: true,
+    }
+}
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -6,6 +6,47 @@
 use nutmegdale_registry::server;
 use std::sync::atomic;
 
+/// Marks the health check of a server that is under way, so that others wait for its answer instead
+/// of asking the same.
+#[derive(Debug, Default)]
+pub struct Check {
+    is_under_way: atomic::AtomicBool,
+    ended: tokio::sync::Notify,
+}
+
+impl Check {
+    /// Returns whether a health check is under way.
+    pub fn is_under_way(&self) -> bool {
+        self.is_under_way.load(atomic::Ordering::Acquire)
+    }
+
+    /// Begins a health check that ends when the value is dropped, unless one is under way.
+    pub fn begin(&self) -> Option<UnderWay<'_>> {
+        let was_under_way = self.is_under_way.swap(true, atomic::Ordering::AcqRel);
+        (!was_under_way).then_some(UnderWay(self))
+    }
+
+    /// Waits for the end of the health check that is under way, if there is one.
+    pub async fn wait(&self) {
+        let mut ended = std::pin::pin!(self.ended.notified());
+        ended.as_mut().enable();
+        if self.is_under_way() {
+            ended.await;
+        }
+    }
+}
+
+/// Health check that ends when the value is dropped.
+#[derive(Debug)]
+pub struct UnderWay<'a>(&'a Check);
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.0.is_under_way.store(false, atomic::Ordering::Release);
+        self.0.ended.notify_waiters();
+    }
+}
+
 /// Live part of one start of a server; it outlives tables.
 #[derive(Debug)]
 pub struct Backend {
@@ -23,6 +64,8 @@
     pub pace: cold::Pace,
     /// Connections.
     pub pool: pool::Pool,
+    /// Health check under way.
+    pub check: Check,
     is_open: atomic::AtomicBool,
     is_cold_holder: atomic::AtomicBool,
     is_preferred: atomic::AtomicBool,
@@ -44,6 +87,7 @@
             signal: signal::Signal::default(),
             health: health::Health::default(),
             pace: cold::Pace::default(),
+            check: Check::default(),
             is_open: atomic::AtomicBool::new(false),
             is_cold_holder: atomic::AtomicBool::new(false),
             is_preferred: atomic::AtomicBool::new(false),
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -1,10 +1,14 @@
 //! Picks the server of a send: asks the best candidates for their load first.
 
 use crate::{backend, live, probe, table};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use nutmegdale_base::{clock, outcome};
 use nutmegdale_dispatch::{admission, estimate, hedge, placement};
+use std::pin;
 use std::sync;
 use std::time;
+use tokio::task;
 
 /// Age up to which a load report is used without a health check. The speed of VMs changes several
 /// times a second.
@@ -15,8 +19,9 @@
 /// Candidates that are asked at once, by round. Rounds take the way there and back, so a choice
 /// that found no good server looks wider each time.
 const ASKED_COUNTS: [usize; 3] = [3, 5, 8];
-/// Time to wait for a health check beyond the way there and back.
-const ANSWER_MS: f64 = 5.0;
+/// Longest wait for the health checks of a round, in parts of the request's aim. A process on a
+/// tenth of a core has most of them answered within 10 to 20 ms.
+const WAIT_AIMS: f64 = 0.03;
 
 /// What is placed.
 #[derive(Debug, Clone, Copy)]
@@ -78,27 +83,48 @@
     wanted: &Wanted<'_>,
 ) -> Result<Placed, Refused> {
     let service = &table.services[wanted.service];
+    let wait_max = time::Duration::from_micros((wanted.need.aim_ms * WAIT_AIMS * 1000.0) as u64);
     for (round, asked_count) in ASKED_COUNTS.into_iter().enumerate() {
-        let mut ranked = rank(shared, service, wanted);
+        let mut ranked = rank(shared, service, wanted, placement::Purpose::Ask);
         if round == 0 {
             nearest_only(&mut ranked);
         }
         ranked.truncate(asked_count);
-        let is_news = ask(shared, service, &ranked).await;
-        let ranked = rank(shared, service, wanted);
-        let is_good = |(_, prediction): &(sync::Arc<backend::Backend>, placement::Prediction)| {
-            prediction.stretch_percent < hedge::QUIET_PERCENT && prediction.has_room
+        let mut asked = ask(shared, service, &ranked);
+        let is_news = !asked.is_empty();
+        let mut limit = pin::pin!(tokio::time::sleep(wait_max));
+        let is_over = loop {
+            let ranked = rank(shared, service, wanted, placement::Purpose::Send);
+            let best = ranked.first().map(|(_, prediction)| prediction);
+            if best.is_some_and(|best| is_quiet(best) && best.busy == 0) {
+                // No other can be better.
+                break true;
+            }
+            tokio::select! {
+                biased;
+                answered = asked.next() => if answered.is_none() {
+                    break best.is_some_and(|best| is_quiet(best) && best.has_room);
+                },
+                // A server that does not answer in this time is judged by what is known of it.
+                () = &mut limit => break false,
+            }
         };
-        if ranked.first().is_some_and(is_good) || (round > 0 && !is_news) {
+        if is_over || (round > 0 && !is_news) {
             break;
         }
     }
-    let mut ranked = rank(shared, service, wanted);
+    let mut ranked = rank(shared, service, wanted, placement::Purpose::Send);
     // The sort is stable, so each part keeps its order.
     ranked.sort_by_key(|(_, prediction)| !is_known(prediction));
     pick(shared, ranked, wanted)
 }
 
+/// Returns whether a server is known to be quiet.
+fn is_quiet(prediction: &placement::Prediction) -> bool {
+    let is_fresh = prediction.age.is_some_and(|age| age <= FRESH_MS);
+    is_fresh && prediction.stretch_percent < hedge::QUIET_PERCENT
+}
+
 /// Leaves out the servers that are further away than the best one: health checks are billed between
 /// zones, and mostly a near server is good enough.
 fn nearest_only(ranked: &mut Ranked) {
@@ -151,7 +177,12 @@
 
 /// Returns the servers that may get the request, the best first. Those that fail are used only if
 /// there is nothing else.
-fn rank(shared: &live::Shared, service: &table::Service, wanted: &Wanted<'_>) -> Ranked {
+fn rank(
+    shared: &live::Shared,
+    service: &table::Service,
+    wanted: &Wanted<'_>,
+    purpose: placement::Purpose,
+) -> Ranked {
     let now = shared.clock.now();
     let is_usable = |backend: &&sync::Arc<backend::Backend>| {
         backend.is_open()
@@ -171,40 +202,40 @@
     let chosen = if sound.is_empty() { usable } else { sound };
     let candidates: Vec<_> = chosen.iter().map(|b| b.candidate(now)).collect();
     let ways = &crate::settings::WAYS;
-    let ranked = placement::rank(now, &candidates, wanted.need, ways, &mut shared.rng());
+    let ranked = placement::rank(
+        now,
+        &candidates,
+        wanted.need,
+        ways,
+        purpose,
+        &mut shared.rng(),
+    );
     let ranked = ranked.into_iter();
     ranked
         .map(|(n, prediction)| (sync::Arc::clone(chosen[n]), prediction))
         .collect()
 }
 
-/// Asks those of the best servers whose reports are old; returns whether any was asked.
-async fn ask(
+/// Asks those of the best servers whose reports are old.
+fn ask(
     shared: &sync::Arc<live::Shared>,
     service: &table::Service,
     ranked: &[(sync::Arc<backend::Backend>, placement::Prediction)],
-) -> bool {
+) -> FuturesUnordered<task::JoinHandle<()>> {
     let now = shared.clock.now();
-    let mut asked = Vec::new();
-    let mut wait_ms: f64 = 0.0;
+    let asked = FuturesUnordered::new();
     for (backend, prediction) in ranked {
-        if prediction.age.is_some_and(|age| age <= FRESH_MS) || !probe::may_probe(shared, now) {
+        if prediction.age.is_some_and(|age| age <= FRESH_MS) {
             continue;
         }
-        let way = crate::settings::WAYS.get(backend.distance);
-        wait_ms = wait_ms.max(way.rtt_ms * 2.0 + ANSWER_MS);
-        let path = service.spec.health_path.clone();
-        let probe = probe::probe(sync::Arc::clone(shared), sync::Arc::clone(backend), path);
-        asked.push(tokio::spawn(probe));
-    }
-    if asked.is_empty() {
-        return false;
+        if backend.check.is_under_way() || probe::may_probe(shared, now) {
+            let path = service.spec.health_path.clone();
+            let probe = probe::probe(sync::Arc::clone(shared), sync::Arc::clone(backend), path);
+            // A task of its own, since the answer is of use to others once this choice is made.
+            asked.push(tokio::spawn(probe));
+        }
     }
-    let all = futures_util::future::join_all(asked);
-    let limit = time::Duration::from_micros((wait_ms * 1000.0) as u64);
-    // A server that does not answer in this time is judged by what is known of it.
-    drop(tokio::time::timeout(limit, all).await);
-    true
+    asked
 }
 
 /// Returns whether a server was known lately.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -25,12 +25,16 @@
     shared.probes.take(now, 1, rate).is_ok()
 }
 
-/// Asks a server for its load and notes the answer.
+/// Asks a server for its load and notes the answer, or waits for the answer of a health check that
+/// is under way.
 pub async fn probe(
     shared: sync::Arc<live::Shared>,
     backend: sync::Arc<backend::Backend>,
     path: String,
 ) {
+    let Some(_under_way) = backend.check.begin() else {
+        return backend.check.wait().await;
+    };
     metrics::count(&shared.metrics.probes);
     let limit = time::Duration::from_millis(SILENT_MS);
     let asked = tokio::time::timeout(limit, ask(&shared, &backend, &path)).await;
--- a/crates/gateway/tests/ways.rs
+++ b/crates/gateway/tests/ways.rs
@@ -32,7 +32,14 @@
         })
         .collect();
     let mut rng = rng::SplitMix64::new(1);
-    let ranked = placement::rank(now, &candidates, need, &settings::WAYS, &mut rng);
+    let ranked = placement::rank(
+        now,
+        &candidates,
+        need,
+        &settings::WAYS,
+        placement::Purpose::Ask,
+        &mut rng,
+    );
     distances[ranked[0].0]
 }
 
