Sort only the servers that a choice may use, and rank cold servers per list of processes

Cause: a choice compares some 190 servers three to ten times and sorted and copied all of them; each change of the registry ranked 132 processes for 300 servers, though mostly servers or configurations had changed. Change: rank sorts the servers that its purpose needs; holders of cold servers are worked out again only for other processes.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -126,6 +126,11 @@
 }
 
 impl Prediction {
+    /// Returns whether the server was known lately.
+    fn is_known(&self) -> bool {
+        self.age.is_some_and(|age| age <= KNOWN_MS)
+    }
+
     /// Returns the room that the server had.
     pub fn room(&self) -> estimate::Room {
         match (self.busy + 1).cmp(&self.slots) {
@@ -154,6 +159,10 @@
 const FRESH_MS: f64 = 30.0;
 /// Age from which a report tells nothing, in milliseconds: a request has begun or ended since.
 const STALE_MS: f64 = 200.0;
+/// Age up to which a server may get a request at all without a health check, while others can.
+const KNOWN_MS: clock::Millis = clock::Millis(1_500);
+/// Servers that a send may fall back on when the best one can no longer take it.
+const SEND_COUNT: usize = 8;
 /// Delay that is accepted to send to a server whose load is known, in parts of the request's aim:
 /// in a rush half as many requests to others keep it.
 const STALE_AIMS: f64 = 0.5;
@@ -235,12 +244,25 @@
 /// What candidates are compared for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
-    /// To ask the most promising ones for their load.
-    Ask,
-    /// To send the request.
+    /// To ask the most promising ones for their load, this many.
+    Ask(usize),
+    /// The same, but none that is further away than the best one: health checks are billed between
+    /// zones, and mostly a near server is good enough.
+    AskNear(usize),
+    /// To send the request. Servers of which nothing was known lately come last, since they may
+    /// have restarted cold.
     Send,
 }
 
+impl Purpose {
+    fn count(self) -> usize {
+        match self {
+            Purpose::Ask(count) | Purpose::AskNear(count) => count,
+            Purpose::Send => SEND_COUNT,
+        }
+    }
+}
+
 /// Returns the delay that is accepted to send to a server whose load is known now.
 ///
 /// Load pattern: a rush, in which the servers that look free are those of which nobody knows that
@@ -253,7 +275,10 @@
     share.clamp(0.0, 1.0) * STALE_AIMS * need.aim_ms
 }
 
-/// Returns the predictions of `candidates` with their positions, the best first.
+/// Returns the predictions of the best of `candidates` with their positions, the best first.
+///
+/// A process may have hundreds of candidates and ranks them several times for each request, so only
+/// those that are wanted are sorted.
 pub fn rank(
     now: clock::Millis,
     candidates: &[Candidate<'_>],
@@ -268,13 +293,26 @@
         .map(|(n, candidate)| {
             let prediction = predict(now, candidate, need, ways);
             let jitter = 1.0 + SPREAD * (rng.below(1_000) as f64 / 1_000.0);
-            let stale_ms = match purpose {
-                Purpose::Ask => 0.0,
-                Purpose::Send => stale_ms(&prediction, &need),
+            let (is_unknown, stale_ms) = match purpose {
+                Purpose::Ask(_) | Purpose::AskNear(_) => (false, 0.0),
+                Purpose::Send => (!prediction.is_known(), stale_ms(&prediction, &need)),
             };
-            (n, prediction, (prediction.cost_ms + stale_ms) * jitter)
+            let cost_ms = (prediction.cost_ms + stale_ms) * jitter;
+            (n, prediction, (is_unknown, cost_ms))
         })
         .collect();
-    ranked.sort_by(|a, b| a.2.total_cmp(&b.2));
+    let by_cost = |a: &Row, b: &Row| (a.2.0.cmp(&b.2.0)).then(a.2.1.total_cmp(&b.2.1));
+    if let (Purpose::AskNear(_), Some(best)) = (purpose, ranked.iter().copied().min_by(by_cost)) {
+        let nearest = candidates[best.0].distance;
+        ranked.retain(|(n, ..)| candidates[*n].distance <= nearest);
+    }
+    if ranked.len() > purpose.count() {
+        ranked.select_nth_unstable_by(purpose.count(), by_cost);
+        ranked.truncate(purpose.count());
+    }
+    ranked.sort_by(by_cost);
     ranked.into_iter().map(|(n, p, _)| (n, p)).collect()
 }
+
+/// Position of a candidate, its prediction, and what it is compared by.
+type Row = (usize, Prediction, (bool, f64));
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -178,7 +178,14 @@
         .map(|signal| candidate(signal, &health, placement::Distance::Zone))
         .collect();
     for _ in 0..2 {
-        let ranked = placement::rank(now, &candidates, need, &WAYS, placement::Purpose::Ask, rng);
+        let ranked = placement::rank(
+            now,
+            &candidates,
+            need,
+            &WAYS,
+            placement::Purpose::Ask(3),
+            rng,
+        );
         for (n, _) in ranked.iter().take(3) {
             if (rng.below(1_000) as f64) >= load.unanswered * 1_000.0 {
                 own[*n].note(now, servers[*n].report(), own[*n].inflight());
@@ -186,7 +193,7 @@
         }
     }
     let purpose = match policy {
-        Policy::AnyAge => placement::Purpose::Ask,
+        Policy::AnyAge => placement::Purpose::Ask(3),
         _ => placement::Purpose::Send,
     };
     let ranked = placement::rank(now, &candidates, need, &WAYS, purpose, rng);
@@ -436,7 +443,7 @@
             .zip(distances)
             .map(|(signal, distance)| candidate(signal, &health, distance))
             .collect();
-        let purpose = placement::Purpose::Ask;
+        let purpose = placement::Purpose::Ask(1);
         placement::rank(now, &candidates, need, &ways, purpose, &mut rng)[0].0
     };
     let refused = clock::Millis(20_000);
@@ -490,7 +497,7 @@
         |purpose| placement::rank(now, &candidates, need, &WAYS, purpose, &mut rng)[0].0;
     assert_eq!(first(placement::Purpose::Send), 0);
     assert_eq!(
-        first(placement::Purpose::Ask),
+        first(placement::Purpose::Ask(1)),
         1,
         "the other is worth asking"
     );
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -68,6 +68,8 @@
     pub check: Check,
     is_open: atomic::AtomicBool,
     is_cold_holder: atomic::AtomicBool,
+    /// Digest of the processes for which the above was worked out; 0 before.
+    ranked_for: atomic::AtomicU64,
     is_preferred: atomic::AtomicBool,
     cold_until_ms: atomic::AtomicU64,
 }
@@ -90,6 +92,7 @@
             check: Check::default(),
             is_open: atomic::AtomicBool::new(false),
             is_cold_holder: atomic::AtomicBool::new(false),
+            ranked_for: atomic::AtomicU64::new(0),
             is_preferred: atomic::AtomicBool::new(false),
             cold_until_ms: atomic::AtomicU64::new(0),
         }
@@ -111,9 +114,13 @@
     }
 
     /// Sets whether this process is among those that may send to the server while it is cold.
-    pub fn set_cold_holder(&self, is_holder: bool) {
-        self.is_cold_holder
-            .store(is_holder, atomic::Ordering::Release);
+    /// `processes` tells the processes that were ranked; the same ones are not ranked again, since
+    /// servers and configurations change more often than processes do.
+    pub fn set_cold_holder(&self, processes: u64, is_holder: impl FnOnce() -> bool) {
+        if self.ranked_for.swap(processes, atomic::Ordering::Relaxed) != processes {
+            self.is_cold_holder
+                .store(is_holder(), atomic::Ordering::Release);
+        }
     }
 
     /// Sets whether the server is among those that this process goes to first.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -13,9 +13,6 @@
 /// Age up to which a load report is used without a health check. The speed of VMs changes several
 /// times a second.
 pub(crate) const FRESH_MS: clock::Millis = clock::Millis(30);
-/// Age up to which a server may get a request at all without a health check: it may have restarted
-/// cold since.
-const KNOWN_MS: clock::Millis = clock::Millis(1_500);
 /// Candidates that are asked at once, by round. Rounds take the way there and back, so a choice
 /// that found no good server looks wider each time.
 const ASKED_COUNTS: [usize; 3] = [3, 5, 8];
@@ -74,7 +71,12 @@
     }
 }
 
-type Ranked = Vec<(sync::Arc<backend::Backend>, placement::Prediction)>;
+/// Servers of a service, the best first.
+struct Ranked {
+    best: Vec<(sync::Arc<backend::Backend>, placement::Prediction)>,
+    /// Servers that were compared.
+    considered_count: usize,
+}
 
 /// Picks a server for a send and takes the right to send to it.
 pub async fn place(
@@ -85,17 +87,17 @@
     let service = &table.services[wanted.service];
     let wait_max = time::Duration::from_micros((wanted.need.aim_ms * WAIT_AIMS * 1000.0) as u64);
     for (round, asked_count) in ASKED_COUNTS.into_iter().enumerate() {
-        let mut ranked = rank(shared, service, wanted, placement::Purpose::Ask);
-        if round == 0 {
-            nearest_only(&mut ranked);
-        }
-        ranked.truncate(asked_count);
-        let mut asked = ask(shared, service, &ranked);
+        let purpose = match round {
+            0 => placement::Purpose::AskNear(asked_count),
+            _ => placement::Purpose::Ask(asked_count),
+        };
+        let ranked = rank(shared, service, wanted, purpose);
+        let mut asked = ask(shared, service, &ranked.best);
         let is_news = !asked.is_empty();
         let mut limit = pin::pin!(tokio::time::sleep(wait_max));
         let is_over = loop {
             let ranked = rank(shared, service, wanted, placement::Purpose::Send);
-            let best = ranked.first().map(|(_, prediction)| prediction);
+            let best = ranked.best.first().map(|(_, prediction)| prediction);
             if best.is_some_and(|best| is_quiet(best) && best.busy == 0) {
                 // No other can be better.
                 break true;
@@ -113,9 +115,7 @@
             break;
         }
     }
-    let mut ranked = rank(shared, service, wanted, placement::Purpose::Send);
-    // The sort is stable, so each part keeps its order.
-    ranked.sort_by_key(|(_, prediction)| !is_known(prediction));
+    let ranked = rank(shared, service, wanted, placement::Purpose::Send);
     pick(shared, ranked, wanted)
 }
 
@@ -125,22 +125,13 @@
     is_fresh && prediction.stretch_percent < hedge::QUIET_PERCENT
 }
 
-/// Leaves out the servers that are further away than the best one: health checks are billed between
-/// zones, and mostly a near server is good enough.
-fn nearest_only(ranked: &mut Ranked) {
-    if let Some((best, _)) = ranked.first() {
-        let distance = best.distance;
-        ranked.retain(|(backend, _)| backend.distance <= distance);
-    }
-}
-
 fn pick(shared: &live::Shared, ranked: Ranked, wanted: &Wanted<'_>) -> Result<Placed, Refused> {
     let mut rng = shared.rng();
-    let Some((_, best)) = ranked.first() else {
+    let Some((_, best)) = ranked.best.first() else {
         let after = admission::return_after(0.0, wanted.time.to_deadline, &mut rng);
         return Err(Refused::new(outcome::Reason::NoServer, after));
     };
-    let considered_count = ranked.len();
+    let considered_count = ranked.considered_count;
     let now = shared.clock.now();
     let estimate = wanted.estimate;
     let is_in_doubt = estimate.is_in_doubt(now);
@@ -159,7 +150,7 @@
             });
         }
     }
-    for (backend, prediction) in ranked {
+    for (backend, prediction) in ranked.best {
         if backend.is_open() && backend.take(now) {
             backend.health.begin_trial(now);
             return Ok(Placed {
@@ -175,7 +166,7 @@
     })
 }
 
-/// Returns the servers that may get the request, the best first. Those that fail are used only if
+/// Compares the servers that may get the request. Those that fail are used only if
 /// there is nothing else.
 fn rank(
     shared: &live::Shared,
@@ -210,10 +201,12 @@
         purpose,
         &mut shared.rng(),
     );
-    let ranked = ranked.into_iter();
-    ranked
-        .map(|(n, prediction)| (sync::Arc::clone(chosen[n]), prediction))
-        .collect()
+    let best = ranked.into_iter();
+    let best = best.map(|(n, prediction)| (sync::Arc::clone(chosen[n]), prediction));
+    Ranked {
+        best: best.collect(),
+        considered_count: chosen.len(),
+    }
 }
 
 /// Asks those of the best servers whose reports are old.
@@ -237,8 +230,3 @@
     }
     asked
 }
-
-/// Returns whether a server was known lately.
-fn is_known(prediction: &placement::Prediction) -> bool {
-    prediction.age.is_some_and(|age| age <= KNOWN_MS)
-}
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -244,11 +244,13 @@
         };
         let mut backends: Vec<_> = self.backends.values().filter(of_service).cloned().collect();
         backends.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
+        let ranked = digest::of(&(&copy.entries, holders)).max(1);
         for backend in &backends {
             let announcement = &backend.announcement;
-            let server = cold::Ranked::new(&announcement.id, &announcement.zone);
-            let may = cold::may_send(&own, &others, &server, holders);
-            backend.set_cold_holder(may);
+            backend.set_cold_holder(ranked, || {
+                let server = cold::Ranked::new(&announcement.id, &announcement.zone);
+                cold::may_send(&own, &others, &server, holders)
+            });
             backend.pool.set_share(share);
         }
         prefer(&self.settings.entry.name, &backends);
--- a/crates/gateway/tests/ways.rs
+++ b/crates/gateway/tests/ways.rs
@@ -37,7 +37,7 @@
         &candidates,
         need,
         &settings::WAYS,
-        placement::Purpose::Ask,
+        placement::Purpose::Ask(usize::MAX),
         &mut rng,
     );
     distances[ranked[0].0]
