--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -78,6 +78,9 @@
     considered_count: usize,
 }
 
+/// Health checks under way.
+type Asked = FuturesUnordered<task::JoinHandle<()>>;
+
 /// Picks a server for a send and takes the right to send to it.
 pub async fn place(
     shared: &sync::Arc<live::Shared>,
@@ -85,33 +88,16 @@
     wanted: &Wanted<'_>,
 ) -> Result<Placed, Refused> {
     let service = &table.services[wanted.service];
-    let wait_max = time::Duration::from_micros((wanted.need.aim_ms * WAIT_AIMS * 1000.0) as u64);
     for (round, asked_count) in ASKED_COUNTS.into_iter().enumerate() {
         let purpose = match round {
             0 => placement::Purpose::AskNear(asked_count),
             _ => placement::Purpose::Ask(asked_count),
         };
         let ranked = rank(shared, service, wanted, purpose);
-        let mut asked = ask(shared, service, &ranked.best);
+        let asked = ask(shared, service, &ranked.best);
         let is_news = !asked.is_empty();
-        let mut limit = pin::pin!(tokio::time::sleep(wait_max));
-        let is_over = loop {
-            let ranked = rank(shared, service, wanted, placement::Purpose::Send);
-            let best = ranked.best.first().map(|(_, prediction)| prediction);
-            if best.is_some_and(|best| is_quiet(best) && best.busy == 0) {
-                // No other can be better.
-                break true;
-            }
-            tokio::select! {
-                biased;
-                answered = asked.next() => if answered.is_none() {
-                    break best.is_some_and(|best| is_quiet(best) && best.has_room);
-                },
-                // A server that does not answer in this time is judged by what is known of it.
-                () = &mut limit => break false,
-            }
-        };
-        if is_over || (round > 0 && !is_news) {
+        let is_good = learn(shared, service, wanted, asked).await;
+        if is_good || (round > 0 && !is_news) {
             break;
         }
     }
@@ -119,6 +105,34 @@
     pick(shared, ranked, wanted)
 }
 
+/// Waits for answers to health checks, as long as they may show a better server; returns whether
+/// one is good enough to ask no others.
+async fn learn(
+    shared: &live::Shared,
+    service: &table::Service,
+    wanted: &Wanted<'_>,
+    mut asked: Asked,
+) -> bool {
+    let wait_max = time::Duration::from_micros((wanted.need.aim_ms * WAIT_AIMS * 1000.0) as u64);
+    let mut limit = pin::pin!(tokio::time::sleep(wait_max));
+    loop {
+        let ranked = rank(shared, service, wanted, placement::Purpose::Send);
+        let best = ranked.best.first().map(|(_, prediction)| prediction);
+        let best = best.filter(|best| is_quiet(best));
+        if best.is_some_and(|best| best.busy == 0) {
+            return true;
+        }
+        tokio::select! {
+            biased;
+            answered = asked.next() => if answered.is_none() {
+                return best.is_some_and(|best| best.has_room);
+            },
+            // A server that does not answer in this time is judged by what is known of it.
+            () = &mut limit => return false,
+        }
+    }
+}
+
 /// Returns whether a server is known to be quiet.
 fn is_quiet(prediction: &placement::Prediction) -> bool {
     let is_fresh = prediction.age.is_some_and(|age| age <= FRESH_MS);
@@ -166,8 +180,8 @@
     })
 }
 
-/// Compares the servers that may get the request. Those that fail are used only if
-/// there is nothing else.
+/// Compares the servers that may get the request. Those that fail are used only if there is nothing
+/// else.
 fn rank(
     shared: &live::Shared,
     service: &table::Service,
@@ -214,7 +228,7 @@
     shared: &sync::Arc<live::Shared>,
     service: &table::Service,
     ranked: &[(sync::Arc<backend::Backend>, placement::Prediction)],
-) -> FuturesUnordered<task::JoinHandle<()>> {
+) -> Asked {
     let now = shared.clock.now();
     let asked = FuturesUnordered::new();
     for (backend, prediction) in ranked {
