Go first to servers with open connections

Cause: health checks and requests on new connections wait for a slot of their server, and each new connection is billed; only the six servers per distance that a process goes to first were spared a detour. Change: servers with an open connection count among them.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -87,7 +87,7 @@
     pub distance: Distance,
     /// Whether it warms up.
     pub is_cold: bool,
-    /// Whether it is among the servers that this process goes to first.
+    /// Whether it is among the servers that this process goes to first, or has connections to.
     pub is_preferred: bool,
 }
 
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -165,7 +165,8 @@
             slots: self.announcement.slots,
             distance: self.distance,
             is_cold: self.is_cold(now),
-            is_preferred: self.is_preferred.load(atomic::Ordering::Relaxed),
+            is_preferred: self.is_preferred.load(atomic::Ordering::Relaxed)
+                || self.pool.is_connected(),
         }
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -96,6 +96,11 @@
         self.share.store(share.max(1), atomic::Ordering::Relaxed);
     }
 
+    /// Returns whether a connection is open.
+    pub fn is_connected(&self) -> bool {
+        self.open.load(atomic::Ordering::Relaxed) > 0
+    }
+
     fn idle(&self) -> sync::MutexGuard<'_, Vec<Idle>> {
         self.idle
             .lock()
