--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -153,6 +153,29 @@
             .note_failure(&self.backend, failure, "request");
     }
 
+    /// Notes a refusal of the server. One that is full refuses rightly; one with free slots fails.
+    fn refused(&mut self, report: Option<signal::Report>) {
+        self.is_over = true;
+        match report {
+            Some(report) if report.running < report.slots => {
+                self.failed(health::Failure::Answer);
+            }
+            Some(_) => {}
+            None => self.backend.signal.note_full(self.now()),
+        }
+    }
+
+    /// Notes a whole answer of the server.
+    fn answered(&mut self, status: hyper::StatusCode) {
+        self.is_over = true;
+        if status.is_server_error() {
+            self.failed(health::Failure::Answer);
+            return;
+        }
+        self.backend.health.succeeded();
+        self.note_answer(self.now().since(self.started));
+    }
+
     fn take_report(&self, said: &dialect::Answer<'_>) {
         if let Some(report) = said.report {
             let own = self.backend.signal.inflight();
@@ -210,15 +233,10 @@
     send: Send,
     left: clock::Millis,
 ) -> Sent {
-    let mut req = hyper::Request::new(send.payload.into_body());
-    *req.method_mut() = send.head.method.clone();
-    *req.uri_mut() = send.head.uri.clone();
-    *req.headers_mut() = send.head.headers.clone();
-    shared
-        .dialect
-        .prepare(req.headers_mut(), send.backend.id(), left);
-    let sent = connection.sender.try_send_request(req).await;
-    let response = match sent {
+    let req = request(shared, &send, left);
+    let id = send.id;
+    let req = req.map(|()| send.payload.into_body());
+    let response = match connection.sender.try_send_request(req).await {
         Ok(response) => response,
         Err(mut err) => {
             if err.take_message().is_some() {
@@ -236,7 +254,7 @@
     };
     let (head, incoming) = response.into_parts();
     let said = shared.dialect.answer(head.status, &head.headers);
-    if said.id.is_some_and(|id| id != &*send.id) {
+    if said.id.is_some_and(|said| said != &*id) {
         // It answers an earlier request; whether this one ran is not known.
         flight.failed(health::Failure::Answer);
         return Sent::Unknown(outcome::Reason::BrokenAnswer);
@@ -249,8 +267,7 @@
     let is_not_run = said.is_not_run;
     let is_sound = !head.status.is_success()
         || (said.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
-    let read = payload::Payload::read(incoming).await;
-    let payload = match read {
+    let payload = match payload::Payload::read(incoming).await {
         Ok(payload) if is_sound || is_not_run => payload,
         _ if is_not_run => return Sent::NotRun(outcome::Reason::ServerRefused, true),
         _ => {
@@ -259,26 +276,11 @@
         }
     };
     if is_not_run {
-        flight.is_over = true;
-        // A server that is full refuses rightly; one with free slots fails.
-        match said.report {
-            Some(report) if report.running < report.slots => {
-                flight.failed(health::Failure::Answer);
-            }
-            Some(_) => {}
-            None => send.backend.signal.note_full(flight.now()),
-        }
+        flight.refused(said.report);
         live::checkin(&send.backend, flight.now(), connection, &head.headers);
         return Sent::NotRun(outcome::Reason::ServerRefused, true);
     }
-    flight.is_over = true;
-    match head.status.is_server_error() {
-        true => flight.failed(health::Failure::Answer),
-        false => {
-            send.backend.health.succeeded();
-            flight.note_answer(flight.now().since(flight.started));
-        }
-    }
+    flight.answered(head.status);
     let last = send.backend.signal.last(flight.now());
     let held_bytes = payload.held.len() as u64;
     let body = match payload.rest {
@@ -302,6 +304,18 @@
     })
 }
 
+/// Returns the request without its body, as the server gets it.
+fn request(shared: &live::Shared, send: &Send, left: clock::Millis) -> hyper::Request<()> {
+    let mut req = hyper::Request::new(());
+    *req.method_mut() = send.head.method.clone();
+    *req.uri_mut() = send.head.uri.clone();
+    *req.headers_mut() = send.head.headers.clone();
+    shared
+        .dialect
+        .prepare(req.headers_mut(), send.backend.id(), left);
+    req
+}
+
 /// Body that streams and keeps its connection until its end.
 struct Kept {
     body: listen::Body,
