--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -343,6 +343,9 @@
         let Some(payload) = self.next_payload() else {
             return;
         };
+        if placed.is_trial {
+            call.trail.ended(call.passed(), "trial");
+        }
         call.trail
             .sent(call.passed(), placed.backend.id(), &placed.prediction);
         self.tried.push(sync::Arc::clone(&placed.backend));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,8 @@
     pub probes: atomic::AtomicU64,
     /// Health checks that were not answered.
     pub probes_failed: atomic::AtomicU64,
+    /// Of these, those on a new connection that a full server did not serve.
+    pub probes_unserved: atomic::AtomicU64,
     /// Times that a server was taken out of the choice.
     pub ejections: atomic::AtomicU64,
     /// Syncs with a coordinator that failed.
@@ -63,6 +65,11 @@
                 "Health checks that were not answered.",
                 &self.probes_failed,
             ),
+            counter(
+                "nutmegdale_probes_unserved_total",
+                "Health checks on a new connection that a full server did not serve.",
+                &self.probes_unserved,
+            ),
             counter(
                 "nutmegdale_ejections_total",
                 "Times that a server was taken out of the choice.",
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -44,6 +44,8 @@
     pub backend: sync::Arc<backend::Backend>,
     /// Prediction that the choice rests on.
     pub prediction: placement::Prediction,
+    /// Whether the request seems to need too long and only tries out what is known of its work.
+    pub is_trial: bool,
 }
 
 /// Why no server was picked.
@@ -149,7 +151,8 @@
     let now = shared.clock.now();
     let estimate = wanted.estimate;
     let is_in_doubt = estimate.is_in_doubt(now);
-    match admission::decide(best, wanted.need, wanted.time, is_in_doubt, &mut rng) {
+    let decision = admission::decide(best, wanted.need, wanted.time, is_in_doubt, &mut rng);
+    match decision {
         admission::Decision::Admit => estimate.admitted(),
         admission::Decision::Try => estimate.restart(),
         admission::Decision::Refuse { after } => {
@@ -170,6 +173,7 @@
             return Ok(Placed {
                 backend,
                 prediction,
+                is_trial: decision == admission::Decision::Try,
             });
         }
     }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -59,7 +59,7 @@
             shared.note_failure(&backend, failure, "health check");
         }
         // Nothing is known of it then, so servers that are known go before it.
-        Fault::Full => {}
+        Fault::Full => metrics::count(&shared.metrics.probes_unserved),
         Fault::Closed => backend.pool.renew(),
     }
 }
