--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -155,10 +155,11 @@
 /// Delay that is accepted to stay with the servers that this process goes to first, in parts of the
 /// request's aim: their load is known and their connections are open.
 const DETOUR_AIMS: f64 = 0.08;
-/// Age up to which a report tells the load, in milliseconds.
-const FRESH_MS: f64 = 30.0;
-/// Age from which a report tells nothing, in milliseconds: a request has begun or ended since.
-const STALE_MS: f64 = 200.0;
+/// Age up to which a report tells the load without another health check. The speed of VMs changes
+/// several times a second.
+pub const FRESH_MS: clock::Millis = clock::Millis(30);
+/// Age from which a report tells nothing: a request has begun or ended since.
+const STALE_MS: clock::Millis = clock::Millis(200);
 /// Age up to which a server may get a request at all without a health check, while others can.
 const KNOWN_MS: clock::Millis = clock::Millis(1_500);
 /// Servers that a send may fall back on when the best one can no longer take it.
@@ -269,12 +270,15 @@
 /// they are full or slow. What was reported long ago says next to nothing then.
 fn stale_ms(prediction: &Prediction, need: &Need) -> f64 {
     let share = match prediction.age {
-        Some(age) => (age.0 as f64 - FRESH_MS) / (STALE_MS - FRESH_MS),
+        Some(age) => age.since(FRESH_MS).0 as f64 / STALE_MS.since(FRESH_MS).0 as f64,
         None => 1.0,
     };
     share.clamp(0.0, 1.0) * STALE_AIMS * need.aim_ms
 }
 
+/// Position of a candidate, its prediction, and what it is compared by.
+type Row = (usize, Prediction, (bool, f64));
+
 /// Returns the predictions of the best of `candidates` with their positions, the best first.
 ///
 /// A process may have hundreds of candidates and ranks them several times for each request, so only
@@ -313,6 +317,3 @@
     ranked.sort_by(by_cost);
     ranked.into_iter().map(|(n, p, _)| (n, p)).collect()
 }
-
-/// Position of a candidate, its prediction, and what it is compared by.
-type Row = (usize, Prediction, (bool, f64));
--- a/crates/gateway/src/lookout.rs
+++ b/crates/gateway/src/lookout.rs
@@ -1,9 +1,9 @@
 //! Watches a request that was sent: asks its server how quick it is while a second send could
 //! still keep the aim.
 
-use crate::{backend, live, place, probe};
+use crate::{backend, live, probe};
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::hedge;
+use nutmegdale_dispatch::{hedge, placement};
 use std::pin;
 use std::sync;
 use std::time;
@@ -92,7 +92,7 @@
         let now = shared.clock.now();
         self.asked_at = now;
         let last = self.backend.signal.last(now);
-        let is_known = last.is_some_and(|last| last.age <= place::FRESH_MS);
+        let is_known = last.is_some_and(|last| last.age <= placement::FRESH_MS);
         if is_known || !probe::may_probe(shared, now) {
             self.asking = Some(Box::pin(std::future::ready(())));
             return;
@@ -111,7 +111,7 @@
         let Some(last) = self.backend.signal.last(now) else {
             return false;
         };
-        let is_new = last.age <= now.since(self.asked_at) + place::FRESH_MS;
+        let is_new = last.age <= now.since(self.asked_at) + placement::FRESH_MS;
         is_new && self.waiting.is_stuck(now, f64::from(last.stretch_percent))
     }
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -10,9 +10,6 @@
 use std::time;
 use tokio::task;
 
-/// Age up to which a load report is used without a health check. The speed of VMs changes several
-/// times a second.
-pub(crate) const FRESH_MS: clock::Millis = clock::Millis(30);
 /// Candidates that are asked at once, by round. Rounds take the way there and back, so a choice
 /// that found no good server looks wider each time.
 const ASKED_COUNTS: [usize; 3] = [3, 5, 8];
@@ -137,7 +134,7 @@
 
 /// Returns whether a server is known to be quiet.
 fn is_quiet(prediction: &placement::Prediction) -> bool {
-    let is_fresh = prediction.age.is_some_and(|age| age <= FRESH_MS);
+    let is_fresh = prediction.age.is_some_and(|age| age <= placement::FRESH_MS);
     is_fresh && prediction.stretch_percent < hedge::QUIET_PERCENT
 }
 
@@ -236,7 +233,7 @@
     let now = shared.clock.now();
     let asked = FuturesUnordered::new();
     for (backend, prediction) in ranked {
-        if prediction.age.is_some_and(|age| age <= FRESH_MS) {
+        if prediction.age.is_some_and(|age| age <= placement::FRESH_MS) {
             continue;
         }
         if backend.check.is_under_way() || probe::may_probe(shared, now) {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -10,8 +10,8 @@
 use std::sync;
 use std::time;
 
-/// Time after which an unanswered health check counts as a failure. The answer does not wait for
-/// a slot, so this only covers the way and a busy VM.
+/// Time after which a health check is given up. On a kept connection its answer does not wait for a
+/// slot, so this only covers the way and a busy VM.
 const SILENT_MS: u64 = 400;
 /// Part of the allowed health checks that is used, in percent; the rest covers processes that join.
 const USED_PERCENT: f64 = 70.0;
