Let what is remembered of servers fade in one place

predict, slowness, refused_busy and refused_share each computed the same linear decay, and the last two differed only in how long a refusal is remembered. signal::trust is the decay, Signal::fullness what a refusal still tells. Predictions stay as they were.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -184,7 +184,7 @@
     let last = candidate.signal.last(now);
     let (busy, stretch) = match last {
         Some(aged) => {
-            let trust = (1.0 - aged.age.0 as f64 / STRETCH_TRUST_MS).max(0.0);
+            let trust = signal::trust(aged.age, STRETCH_TRUST_MS);
             let seen = f64::from(aged.stretch_percent);
             let stretch = seen * trust + STRETCH_UNKNOWN_PERCENT * (1.0 - trust);
             // Others that were seen long ago may have ended; half of them are taken to be there.
@@ -193,8 +193,12 @@
         }
         None => (own, STRETCH_UNKNOWN_PERCENT),
     };
-    let busy = busy.max(refused_busy(now, candidate, need));
     let slots = f64::from(candidate.slots.max(1));
+    // What ran at a server when it refused has ended soon, but those who sent it may send more.
+    let ends_ms = (need.work_ms * STRETCH_UNKNOWN_PERCENT / 100.0).max(1.0);
+    let running = slots * candidate.signal.fullness(now, ends_ms);
+    let refused = candidate.signal.fullness(now, REFUSED_MEMORY_MS);
+    let busy = busy.max(running.ceil() as u32);
     let taken = f64::from(busy + 1);
     let has_room = taken / slots <= CROWDED_SHARE;
     let mut work = need.work_ms * stretch / 100.0;
@@ -215,7 +219,7 @@
         DETOUR_AIMS * need.aim_ms
     };
     // A failed or refused answer costs a request its aim.
-    let failed_ms = (failed + refused_share(now, candidate)) * need.aim_ms;
+    let failed_ms = (failed + refused) * need.aim_ms;
     let mut prediction = Prediction {
         answer_ms,
         reported_ms,
@@ -234,26 +238,6 @@
     prediction
 }
 
-/// Returns the requests that are taken to be at a server that refused one as full: all of its slots
-/// at first, and fewer as what ran then ends.
-fn refused_busy(now: clock::Millis, candidate: &Candidate<'_>, need: Need) -> u32 {
-    let Some(since) = candidate.signal.full_since(now) else {
-        return 0;
-    };
-    let ends_ms = need.work_ms * STRETCH_UNKNOWN_PERCENT / 100.0;
-    let left = (1.0 - since.0 as f64 / ends_ms.max(1.0)).max(0.0);
-    (f64::from(candidate.slots) * left).ceil() as u32
-}
-
-/// Returns how likely a server refuses that refused a request as full and reports no load, from 0
-/// to 1: the processes that filled it go on to send.
-fn refused_share(now: clock::Millis, candidate: &Candidate<'_>) -> f64 {
-    let since = candidate.signal.full_since(now);
-    since.map_or(0.0, |since| {
-        (1.0 - since.0 as f64 / REFUSED_MEMORY_MS).max(0.0)
-    })
-}
-
 /// What candidates are compared for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
--- a/crates/dispatch/src/signal.rs
+++ b/crates/dispatch/src/signal.rs
@@ -44,6 +44,12 @@
 /// Bit that tells a report from none.
 const PRESENT: u64 = 1 << 63;
 
+/// Returns how far something seen `age` ago still tells what is now, from 1 for what was just seen
+/// to 0 for what is as old as `memory_ms`.
+pub fn trust(age: clock::Millis, memory_ms: f64) -> f64 {
+    (1.0 - age.0 as f64 / memory_ms).max(0.0)
+}
+
 /// What is known of the load of one server.
 ///
 /// Threads write without a lock; a report and its time may mix with another report's for a moment,
@@ -83,9 +89,8 @@
         if percent < SLOW_MIN_PERCENT {
             return 1.0;
         }
-        let age = now.since(clock::Millis(self.slow_at_ms.load(order))).0 as f64;
-        let trust = (1.0 - age / SLOW_MEMORY_MS).max(0.0);
-        1.0 + (percent as f64 / 100.0 - 1.0) * trust
+        let age = now.since(clock::Millis(self.slow_at_ms.load(order)));
+        1.0 + (percent as f64 / 100.0 - 1.0) * trust(age, SLOW_MEMORY_MS)
     }
 
     /// Counts a request that is about to be sent.
@@ -118,12 +123,15 @@
             .store(now.0.max(1), atomic::Ordering::Relaxed);
     }
 
-    /// Returns the time since the server was full, unless a later report says what it does now.
-    pub fn full_since(&self, now: clock::Millis) -> Option<clock::Millis> {
+    /// Returns how likely the server is still full, from 0 to 1, where a refusal is remembered for
+    /// `memory_ms`. A later report tells what it does now.
+    pub fn fullness(&self, now: clock::Millis, memory_ms: f64) -> f64 {
         let order = atomic::Ordering::Relaxed;
-        let full_at = self.full_at_ms.load(order);
-        let is_news = full_at > 0 && full_at >= self.reported_ms.load(order);
-        is_news.then(|| now.since(clock::Millis(full_at)))
+        match self.full_at_ms.load(order) {
+            0 => 0.0,
+            full_at if full_at < self.reported_ms.load(order) => 0.0,
+            full_at => trust(now.since(clock::Millis(full_at)), memory_ms),
+        }
     }
 
     /// Returns the last report.
