Rank the servers of a choice once less, and refuse for want of one in one place

learn ranked the servers and place ranked them again at once; learn now returns what it has, and ranks again only when its wait is over. A choice without candidates and one whose candidates are all taken were refused by two copies of the same code. Decisions stay as they were.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -71,6 +71,7 @@
 }
 
 /// Servers of a service, the best first.
+#[derive(Default)]
 struct Ranked {
     best: Vec<(sync::Arc<backend::Backend>, placement::Prediction)>,
     /// Servers that were compared.
@@ -87,31 +88,32 @@
     wanted: &Wanted<'_>,
 ) -> Result<Placed, Refused> {
     let service = &table.services[wanted.service];
+    let mut ranked = Ranked::default();
     for (round, asked_count) in ASKED_COUNTS.into_iter().enumerate() {
         let purpose = match round {
             0 => placement::Purpose::AskNear(asked_count),
             _ => placement::Purpose::Ask(asked_count),
         };
-        let ranked = rank(shared, service, wanted, purpose);
-        let asked = ask(shared, service, &ranked.best);
+        let promising = rank(shared, service, wanted, purpose);
+        let asked = ask(shared, service, &promising.best);
         let is_news = !asked.is_empty();
-        let is_good = learn(shared, service, wanted, asked).await;
+        let is_good;
+        (ranked, is_good) = learn(shared, service, wanted, asked).await;
         if is_good || (round > 0 && !is_news) {
             break;
         }
     }
-    let ranked = rank(shared, service, wanted, placement::Purpose::Send);
     pick(shared, ranked, wanted)
 }
 
-/// Waits for answers to health checks, as long as they may show a better server; returns whether
-/// one is good enough to ask no others.
+/// Waits for answers to health checks, as long as they may show a better server; returns the servers
+/// as they are known then, and whether one is good enough to ask no others.
 async fn learn(
     shared: &live::Shared,
     service: &table::Service,
     wanted: &Wanted<'_>,
     mut asked: Asked,
-) -> bool {
+) -> (Ranked, bool) {
     let wait_max = time::Duration::from_micros((wanted.need.aim_ms * WAIT_AIMS * 1000.0) as u64);
     let mut limit = pin::pin!(tokio::time::sleep(wait_max));
     loop {
@@ -119,15 +121,19 @@
         let best = ranked.best.first().map(|(_, prediction)| prediction);
         let best = best.filter(|best| is_quiet(best));
         if best.is_some_and(|best| best.busy == 0) {
-            return true;
+            return (ranked, true);
         }
+        let has_room = best.is_some_and(|best| best.has_room);
         tokio::select! {
             biased;
             answered = asked.next() => if answered.is_none() {
-                return best.is_some_and(|best| best.has_room);
+                return (ranked, has_room);
             },
             // A server that does not answer in this time is judged by what is known of it.
-            () = &mut limit => return false,
+            () = &mut limit => {
+                let ranked = rank(shared, service, wanted, placement::Purpose::Send);
+                return (ranked, false);
+            }
         }
     }
 }
@@ -139,29 +145,29 @@
 }
 
 fn pick(shared: &live::Shared, ranked: Ranked, wanted: &Wanted<'_>) -> Result<Placed, Refused> {
-    let mut rng = shared.rng();
-    let Some((_, best)) = ranked.best.first() else {
-        let after = admission::return_after(0.0, wanted.time.to_deadline, &mut rng);
-        return Err(Refused::new(outcome::Reason::NoServer, after));
-    };
-    let considered_count = ranked.considered_count;
     let now = shared.clock.now();
+    let mut rng = shared.rng();
     let estimate = wanted.estimate;
-    let is_in_doubt = estimate.is_in_doubt(now);
-    let decision = admission::decide(best, wanted.need, wanted.time, is_in_doubt, &mut rng);
-    match decision {
-        admission::Decision::Admit => estimate.admitted(),
-        admission::Decision::Try => estimate.restart(),
-        admission::Decision::Refuse { after } => {
-            if best.has_room {
-                estimate.refused(now);
+    let mut is_trial = false;
+    if let Some((_, best)) = ranked.best.first() {
+        let is_in_doubt = estimate.is_in_doubt(now);
+        match admission::decide(best, wanted.need, wanted.time, is_in_doubt, &mut rng) {
+            admission::Decision::Admit => estimate.admitted(),
+            admission::Decision::Try => {
+                estimate.restart();
+                is_trial = true;
+            }
+            admission::Decision::Refuse { after } => {
+                if best.has_room {
+                    estimate.refused(now);
+                }
+                return Err(Refused {
+                    reason: outcome::Reason::Overload,
+                    after,
+                    best: Some(*best),
+                    considered_count: ranked.considered_count,
+                });
             }
-            return Err(Refused {
-                reason: outcome::Reason::Overload,
-                after,
-                best: Some(*best),
-                considered_count,
-            });
         }
     }
     for (backend, prediction) in ranked.best {
@@ -170,13 +176,13 @@
             return Ok(Placed {
                 backend,
                 prediction,
-                is_trial: decision == admission::Decision::Try,
+                is_trial,
             });
         }
     }
     let after = admission::return_after(0.0, wanted.time.to_deadline, &mut rng);
     Err(Refused {
-        considered_count,
+        considered_count: ranked.considered_count,
         ..Refused::new(outcome::Reason::NoServer, after)
     })
 }
