Ask a server for its load from one place

A choice and a lookout each had the same check: not if the report is fresh, and only within the allowed health checks. The lookout's copy took a share of the allowance also to wait for a check under way, and dropped its own check with its request, although others may wait for the answer. probe::refresh serves both and runs the check as a task of its own.

--- a/crates/gateway/src/lookout.rs
+++ b/crates/gateway/src/lookout.rs
@@ -2,13 +2,15 @@
 //! still keep the aim.
 
 use crate::{backend, live, probe};
+use futures_util::future;
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{hedge, placement};
-use std::pin;
 use std::sync;
 use std::time;
+use tokio::task;
 
-type Asking = pin::Pin<Box<dyn Future<Output = ()> + Send>>;
+/// Look at a server, which may need no health check.
+type Asking = future::OptionFuture<task::JoinHandle<()>>;
 
 /// Send that may be repeated while its answer is awaited.
 pub(crate) struct Lookout {
@@ -66,7 +68,8 @@
     pub(crate) async fn wait(&mut self, shared: &sync::Arc<live::Shared>) -> Sign {
         loop {
             if let Some(asking) = &mut self.asking {
-                asking.await;
+                // A look that failed shows no sign.
+                drop(asking.await);
                 self.asking = None;
                 if self.is_stuck(shared.clock.now()) {
                     return Sign::Stuck;
@@ -89,21 +92,9 @@
 
     /// Asks the server for its load, unless that was reported a moment ago.
     fn look(&mut self, shared: &sync::Arc<live::Shared>) {
-        let now = shared.clock.now();
-        self.asked_at = now;
-        let last = self.backend.signal.last(now);
-        let is_known = last.is_some_and(|last| last.age <= placement::FRESH_MS);
-        if is_known || !probe::may_probe(shared, now) {
-            self.asking = Some(Box::pin(std::future::ready(())));
-            return;
-        }
-        let backend = sync::Arc::clone(&self.backend);
-        let path = self.health_path.clone();
-        self.asking = Some(Box::pin(probe::probe(
-            sync::Arc::clone(shared),
-            backend,
-            path,
-        )));
+        self.asked_at = shared.clock.now();
+        let asking = probe::refresh(shared, &self.backend, &self.health_path);
+        self.asking = Some(asking.into());
     }
 
     /// Returns whether a report from about the last look shows that the answer will be late.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -236,18 +236,9 @@
     service: &table::Service,
     ranked: &[(sync::Arc<backend::Backend>, placement::Prediction)],
 ) -> Asked {
-    let now = shared.clock.now();
-    let asked = FuturesUnordered::new();
-    for (backend, prediction) in ranked {
-        if prediction.age.is_some_and(|age| age <= placement::FRESH_MS) {
-            continue;
-        }
-        if backend.check.is_under_way() || probe::may_probe(shared, now) {
-            let path = service.spec.health_path.clone();
-            let probe = probe::probe(sync::Arc::clone(shared), sync::Arc::clone(backend), path);
-            // A task of its own, since the answer is of use to others once this choice is made.
-            asked.push(tokio::spawn(probe));
-        }
-    }
-    asked
+    let path = &service.spec.health_path;
+    let asked = ranked
+        .iter()
+        .filter_map(|(backend, _)| probe::refresh(shared, backend, path));
+    asked.collect()
 }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -5,10 +5,11 @@
 use hyper::header;
 use nutmegdale_admission::bucket;
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::health;
+use nutmegdale_dispatch::{health, placement};
 use nutmegdale_rpc::listen;
 use std::sync;
 use std::time;
+use tokio::task;
 
 /// Time after which a health check is given up. On a kept connection its answer does not wait for a
 /// slot, so this only covers the way and a busy VM.
@@ -17,7 +18,7 @@
 const USED_PERCENT: f64 = 70.0;
 
 /// Takes the right to one health check.
-pub fn may_probe(shared: &live::Shared, now: clock::Millis) -> bool {
+fn may_probe(shared: &live::Shared, now: clock::Millis) -> bool {
     let table = shared.table.load();
     let allowed = shared.settings.bounds.probes_per_s * table.servers_count() as f64;
     let own = allowed * USED_PERCENT / 100.0 / table.processes_count() as f64;
@@ -36,9 +37,27 @@
     Closed,
 }
 
+/// Asks a server for its load, unless it reported that a moment ago or the allowed health checks are
+/// used up; one that is under way is waited for. It runs as a task of its own, since its answer is
+/// of use to other requests once the one that asked has been decided.
+pub fn refresh(
+    shared: &sync::Arc<live::Shared>,
+    backend: &sync::Arc<backend::Backend>,
+    path: &str,
+) -> Option<task::JoinHandle<()>> {
+    let now = shared.clock.now();
+    let last = backend.signal.last(now);
+    let is_known = last.is_some_and(|last| last.age <= placement::FRESH_MS);
+    let may_ask = !is_known && (backend.check.is_under_way() || may_probe(shared, now));
+    may_ask.then(|| {
+        let (shared, backend) = (sync::Arc::clone(shared), sync::Arc::clone(backend));
+        tokio::spawn(probe(shared, backend, path.to_owned()))
+    })
+}
+
 /// Asks a server for its load and notes the answer, or waits for the answer of a health check that
 /// is under way.
-pub async fn probe(
+async fn probe(
     shared: sync::Arc<live::Shared>,
     backend: sync::Arc<backend::Backend>,
     path: String,
