Work out the list of processes once per table

Each service of a table hashed the list of processes and, though mostly no server is ranked, built their ranks. Both are done once, the ranks only for the first server that needs them.

--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -4,6 +4,7 @@
 use nutmegdale_base::{clock, digest};
 use nutmegdale_dispatch::{budget, cold, estimate, placement, split};
 use nutmegdale_registry::{config, follow, server};
+use std::cell;
 use std::collections;
 use std::sync;
 
@@ -136,10 +137,11 @@
     ) -> Table {
         self.take_servers(now, copy);
         self.take_zones(now, copy, config);
+        let processes = Processes::new(&copy.entries);
         let services = config.map_or(&[][..], |config| &config.services);
         let services: Vec<_> = services
             .iter()
-            .map(|spec| self.service(now, spec, copy))
+            .map(|spec| self.service(now, spec, &processes))
             .collect();
         if let Some(config) = config.filter(|config| config.version != self.routes.0) {
             let routes = self.routes(config);
@@ -230,32 +232,30 @@
         &mut self,
         now: clock::Millis,
         spec: &config::Service,
-        copy: &follow::Copy,
+        processes: &Processes<'_>,
     ) -> Service {
-        let processes = copy.entries.len().max(1);
         let own = cold_process(&self.settings.entry);
-        let others: Vec<_> = copy.entries.iter().map(cold_process).collect();
         let bounds = &self.settings.bounds;
         let holders = bounds.cold.holders_count(spec.cold_per_s);
         let connections = spec.connections_max as usize * CONNECTIONS_USED_PERCENT / 100;
-        let share = u32::try_from(connections / processes).unwrap_or(u32::MAX);
+        let share = u32::try_from(connections / processes.count()).unwrap_or(u32::MAX);
         let of_service = |backend: &&sync::Arc<backend::Backend>| {
             backend.is_open() && backend.announcement.service == spec.name
         };
         let mut backends: Vec<_> = self.backends.values().filter(of_service).cloned().collect();
         backends.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
-        let ranked = digest::of(&(&copy.entries, holders)).max(1);
+        let ranked = digest::of(&(processes.digest, holders)).max(1);
         for backend in &backends {
             let announcement = &backend.announcement;
             backend.set_cold_holder(ranked, || {
                 let server = cold::Ranked::new(&announcement.id, &announcement.zone);
-                cold::may_send(&own, &others, &server, holders)
+                cold::may_send(&own, processes.ranked(), &server, holders)
             });
             backend.pool.set_share(share);
         }
         prefer(&self.settings.entry.name, &backends);
         let budget = self.budgets.entry(spec.name.clone()).or_insert_with(|| {
-            sync::Arc::new(budget::Budget::new(now, &bounds.retries, processes))
+            sync::Arc::new(budget::Budget::new(now, &bounds.retries, processes.count()))
         });
         Service {
             spec: spec.clone(),
@@ -314,6 +314,34 @@
     }
 }
 
+/// Processes that share the bounds of servers.
+struct Processes<'a> {
+    entries: &'a [follow::Entry],
+    /// Number that two lists of processes share only if they are equal.
+    digest: u64,
+    ranked: cell::OnceCell<Vec<cold::Ranked<'a>>>,
+}
+
+impl<'a> Processes<'a> {
+    fn new(entries: &'a [follow::Entry]) -> Processes<'a> {
+        Processes {
+            entries,
+            digest: follow::digest(entries),
+            ranked: cell::OnceCell::new(),
+        }
+    }
+
+    fn count(&self) -> usize {
+        self.entries.len().max(1)
+    }
+
+    /// Returns the processes as they are ranked for cold servers; mostly none needs that.
+    fn ranked(&self) -> &[cold::Ranked<'a>] {
+        self.ranked
+            .get_or_init(|| self.entries.iter().map(cold_process).collect())
+    }
+}
+
 fn cold_process(entry: &follow::Entry) -> cold::Ranked<'_> {
     cold::Ranked::new(&entry.name, &entry.zone)
 }
