--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -50,8 +50,7 @@
         timeout: clock::Millis,
     ) -> error::Result<A> {
         let body = Client::encode(body)?;
-        let reply = self.call_bytes(peer, name, body, timeout).await?;
-        Client::decode(&reply)
+        self.call_encoded(peer, name, body, timeout).await
     }
 
     /// As [`Client::call`], with a body without the names of its fields: for lists of servers and
@@ -70,6 +69,16 @@
     ) -> error::Result<A> {
         let body = rmp_serde::to_vec(body);
         let body = body.map_err(|err| error::Error::NotSent(err.to_string()))?;
+        self.call_encoded(peer, name, body, timeout).await
+    }
+
+    async fn call_encoded<A: de::DeserializeOwned>(
+        &self,
+        peer: net::SocketAddr,
+        name: &str,
+        body: Vec<u8>,
+        timeout: clock::Millis,
+    ) -> error::Result<A> {
         let reply = self.call_bytes(peer, name, body, timeout).await?;
         Client::decode(&reply)
     }
