Say in one place which entry processes are alive

Four filters of the table of entries had the same test and two the same copy of a row; a round of gossip built the same list for each target.

--- a/crates/coordinator/src/entries.rs
+++ b/crates/coordinator/src/entries.rs
@@ -32,6 +32,20 @@
     is_own: bool,
 }
 
+impl Row {
+    fn is_alive(&self, now: clock::Millis) -> bool {
+        now.since(self.seen) < ALIVE_MS
+    }
+
+    fn seen(&self, now: clock::Millis) -> Seen {
+        Seen {
+            entry: self.entry.clone(),
+            is_ready: self.is_ready,
+            age: now.since(self.seen),
+        }
+    }
+}
+
 /// Table of entry processes.
 #[derive(Debug, Default)]
 pub struct Entries {
@@ -74,25 +88,19 @@
 
     /// Returns the entry processes that synced with this coordinator, for the others.
     pub fn own(&self, now: clock::Millis) -> Vec<Seen> {
-        let own = self.rows.values().filter(|row| row.is_own);
-        let seen = own.map(|row| Seen {
-            entry: row.entry.clone(),
-            is_ready: row.is_ready,
-            age: now.since(row.seen),
-        });
-        seen.filter(|seen| seen.age < ALIVE_MS).collect()
+        let rows = self.rows.values();
+        let own = rows.filter(|row| row.is_own && row.is_alive(now));
+        own.map(|row| row.seen(now)).collect()
     }
 
     /// Returns the entry processes that callers may be sent to, with the age of their last sync.
     pub fn ready_seen(&self, now: clock::Millis) -> Vec<Seen> {
+        self.ready_rows(now).map(|row| row.seen(now)).collect()
+    }
+
+    fn ready_rows(&self, now: clock::Millis) -> impl Iterator<Item = &Row> {
         let rows = self.rows.values();
-        let ready = rows.filter(|row| row.is_ready && now.since(row.seen) < ALIVE_MS);
-        let seen = ready.map(|row| Seen {
-            entry: row.entry.clone(),
-            is_ready: true,
-            age: now.since(row.seen),
-        });
-        seen.collect()
+        rows.filter(move |row| row.is_ready && row.is_alive(now))
     }
 
     /// Replaces what is known of the entry processes that sync elsewhere by what the leader knows.
@@ -111,15 +119,14 @@
     /// Keeps alive what syncs elsewhere, as a leader that is in touch knows nothing else.
     pub fn confirm_others(&mut self, now: clock::Millis) {
         let others = self.rows.values_mut().filter(|row| !row.is_own);
-        for row in others.filter(|row| now.since(row.seen) < ALIVE_MS) {
+        for row in others.filter(|row| row.is_alive(now)) {
             row.seen = now;
         }
     }
 
     /// Returns the entry processes that callers may be sent to, by name.
     pub fn ready(&self, now: clock::Millis) -> Vec<follow::Entry> {
-        let rows = self.rows.values();
-        let ready = rows.filter(|row| row.is_ready && now.since(row.seen) < ALIVE_MS);
+        let ready = self.ready_rows(now);
         ready.map(|row| row.entry.clone()).collect()
     }
 
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -129,8 +129,9 @@
             follow::digest(&table.entries.ready(now)),
             table.peers.digest(now),
         );
+        let listed: Vec<_> = own.iter().map(|s| (s.entry.clone(), s.is_ready)).collect();
         for target in targets {
-            let listed: Vec<_> = own.iter().map(|s| (s.entry.clone(), s.is_ready)).collect();
+            let listed = listed.clone();
             let is_told = table.told.get(&target) == Some(&listed);
             let message = gossip::Message {
                 sender: sender.clone(),
