--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -30,6 +30,18 @@
     }
 };
 
+const NEED: placement::Need = placement::Need {
+    work_ms: WORK_MS,
+    moved_kb: 1.5,
+    crowded_factor: CROWDED_FACTOR,
+    aim_ms: AIM_MS as f64,
+};
+
+const TIME: admission::Time = admission::Time {
+    to_aim: clock::Millis(AIM_MS),
+    to_deadline: clock::Millis(DEADLINE_MS),
+};
+
 #[derive(Clone, Copy, PartialEq)]
 enum Policy {
     /// Servers in turn, everything admitted.
@@ -166,12 +178,6 @@
     own: &[signal::Signal],
     rng: &mut rng::SplitMix64,
 ) -> Option<usize> {
-    let need = placement::Need {
-        work_ms: WORK_MS,
-        moved_kb: 1.5,
-        crowded_factor: CROWDED_FACTOR,
-        aim_ms: AIM_MS as f64,
-    };
     let health = health::Health::default();
     let candidates: Vec<_> = own
         .iter()
@@ -181,7 +187,7 @@
         let ranked = placement::rank(
             now,
             &candidates,
-            need,
+            NEED,
             &WAYS,
             placement::Purpose::Ask(3),
             rng,
@@ -196,13 +202,9 @@
         Policy::AnyAge => placement::Purpose::Ask(3),
         _ => placement::Purpose::Send,
     };
-    let ranked = placement::rank(now, &candidates, need, &WAYS, purpose, rng);
+    let ranked = placement::rank(now, &candidates, NEED, &WAYS, purpose, rng);
     let (best, prediction) = ranked.first()?;
-    let time = admission::Time {
-        to_aim: clock::Millis(AIM_MS),
-        to_deadline: clock::Millis(DEADLINE_MS),
-    };
-    let decision = admission::decide(prediction, need, time, false, rng);
+    let decision = admission::decide(prediction, NEED, TIME, false, rng);
     let is_admitted = policy == Policy::PlacedOnly || decision == admission::Decision::Admit;
     is_admitted.then_some(*best)
 }
@@ -331,17 +333,11 @@
         slots: SLOTS as u32,
     };
     let need = placement::Need {
-        work_ms: WORK_MS,
         moved_kb: 1.0,
-        crowded_factor: CROWDED_FACTOR,
-        aim_ms: AIM_MS as f64,
+        ..NEED
     };
     for _ in 0..1_000 {
-        let time = admission::Time {
-            to_aim: clock::Millis(AIM_MS),
-            to_deadline: clock::Millis(DEADLINE_MS),
-        };
-        let decision = admission::decide(&best, need, time, false, &mut rng);
+        let decision = admission::decide(&best, need, TIME, false, &mut rng);
         let admission::Decision::Refuse { after } = decision else {
             panic!("a request that cannot keep its aim takes no slot in a rush");
         };
@@ -394,12 +390,8 @@
         };
         let candidate = candidate(&signal, &health, placement::Distance::Zone);
         let best = placement::predict(now, &candidate, need, &WAYS);
-        let time = admission::Time {
-            to_aim: clock::Millis(AIM_MS),
-            to_deadline: clock::Millis(DEADLINE_MS),
-        };
         let is_in_doubt = estimate.is_in_doubt(now);
-        let decision = admission::decide(&best, need, time, is_in_doubt, &mut rng);
+        let decision = admission::decide(&best, need, TIME, is_in_doubt, &mut rng);
         match decision {
             admission::Decision::Admit => estimate.admitted(),
             admission::Decision::Try => estimate.restart(),
@@ -429,12 +421,6 @@
     };
     let signals = [signal::Signal::default(), signal::Signal::default()];
     let health = health::Health::default();
-    let need = placement::Need {
-        work_ms: WORK_MS,
-        moved_kb: 1.5,
-        crowded_factor: CROWDED_FACTOR,
-        aim_ms: AIM_MS as f64,
-    };
     let mut rng = rng::SplitMix64::new(6);
     let mut best = |now| {
         let distances = [placement::Distance::Zone, placement::Distance::Far];
@@ -444,7 +430,7 @@
             .map(|(signal, distance)| candidate(signal, &health, distance))
             .collect();
         let purpose = placement::Purpose::Ask(1);
-        placement::rank(now, &candidates, need, &ways, purpose, &mut rng)[0].0
+        placement::rank(now, &candidates, NEED, &ways, purpose, &mut rng)[0].0
     };
     let refused = clock::Millis(20_000);
     assert_eq!(best(refused), 0);
@@ -488,10 +474,8 @@
         .map(|signal| candidate(signal, &health, placement::Distance::Zone))
         .collect();
     let need = placement::Need {
-        work_ms: WORK_MS,
-        moved_kb: 1.5,
-        crowded_factor: CROWDED_FACTOR,
         aim_ms: 500.0,
+        ..NEED
     };
     let mut rng = rng::SplitMix64::new(8);
     let mut first =
