Take no server out for want of a connection of our own

Cause: a health check that found this process's share of the server's connections in use counted as a failed connect, which takes the server out for 0.25 s and more; the path of a request tells the two apart.

--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -35,6 +35,8 @@
     Full,
     /// A kept connection was closed, which says nothing of the server.
     Closed,
+    /// This process has its share of the server's connections in use.
+    NoConnection,
 }
 
 /// Asks a server for its load, unless it reported that a moment ago or the allowed health checks are
@@ -80,6 +82,7 @@
         // Nothing is known of it then, so servers that are known go before it.
         Fault::Full => metrics::count(&shared.metrics.probes_unserved),
         Fault::Closed => backend.pool.renew(),
+        Fault::NoConnection => {}
     }
 }
 
@@ -88,7 +91,10 @@
         .pool
         .checkout(shared.clock.now(), clock::Millis::MAX)
         .await;
-    let connection = checkout.map_err(|_| Fault::Failed(health::Failure::Connect))?;
+    let connection = checkout.map_err(|err| match err {
+        pool::Error::Connect => Fault::Failed(health::Failure::Connect),
+        pool::Error::Full => Fault::NoConnection,
+    })?;
     let is_reused = connection.is_reused;
     let limit = time::Duration::from_millis(SILENT_MS);
     match tokio::time::timeout(limit, ask(shared, backend, path, connection)).await {
--- a/crates/gateway/tests/front.rs
+++ b/crates/gateway/tests/front.rs
@@ -162,3 +162,18 @@
     let checks_count = scene.arrivals(stub::HEALTH_ID);
     assert!(checks_count <= 2, "{checks_count} health checks");
 }
+
+/// Guards against a server that is taken out as unreachable because this process has its share of
+/// the server's connections in use.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn server_is_not_taken_out_for_want_of_a_connection() {
+    let mut scene = stub::Scene::start(class::Class::UrgentLookup, &[Behaviour::Slow]).await;
+    scene.bound_connections();
+    let later = async {
+        tokio::time::sleep(time::Duration::from_millis(60)).await;
+        scene.ask("r1").await
+    };
+    let (first, second) = tokio::join!(scene.ask("r0"), later);
+    assert_eq!((first.status, second.status), (200, 503));
+    assert_eq!(scene.ejections_count(), 0);
+}
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -130,6 +130,12 @@
         self.publish(&self.copy);
     }
 
+    /// Lets this process have one connection to each server.
+    pub(crate) fn bound_connections(&mut self) {
+        self.config.services[0].connections_max = 1;
+        self.configure();
+    }
+
     /// Returns how many servers were taken out of the choice since the start.
     pub(crate) fn ejections_count(&self) -> u64 {
         self.shared
--- a/crates/gateway/tests/stub/server.rs
+++ b/crates/gateway/tests/stub/server.rs
@@ -16,6 +16,8 @@
 pub(crate) enum Behaviour {
     /// With a whole answer.
     Answer,
+    /// With a whole answer, after a while.
+    Slow,
     /// With a failure, after a while.
     SlowFailure,
     /// By closing the connection after it has run the request.
@@ -108,6 +110,10 @@
             tokio::time::sleep(time::Duration::from_millis(240)).await;
             signed.header("id", &id).body(body())
         }
+        Behaviour::Slow => {
+            tokio::time::sleep(time::Duration::from_millis(150)).await;
+            signed.header("id", &id).body(body())
+        }
         Behaviour::SlowFailure => {
             tokio::time::sleep(time::Duration::from_millis(120)).await;
             signed.header("id", &id).status(500).body(body())
