--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -230,9 +230,17 @@
             members: self.members().clone(),
             progress,
             is_repaired: self.is_repaired(),
+            quorum_contact_at: self.quorum_contact_at(),
         }
     }
 
+    /// Returns the start of the newest round that a quorum answered, once this replica knows what
+    /// earlier leaders committed.
+    fn quorum_contact_at(&self) -> Option<clock::Millis> {
+        let state = self.leader_state.as_ref()?;
+        (self.commit >= state.term_start).then_some(state.quorum_contact_at)
+    }
+
     fn progress_of(&self, id: types::ReplicaId) -> Option<status::MemberProgress> {
         let state = self.leader_state.as_ref()?;
         if id == self.id {
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -1,6 +1,7 @@
 //! Status that a replica reports.
 
 use crate::types;
+use nutmegdale_base::clock;
 use serde::{Deserialize, Serialize};
 
 /// Role of a replica.
@@ -65,6 +66,11 @@
     /// Whether the last membership change is committed and every voter holds the log up to it;
     /// `None` unless this replica leads.
     pub is_repaired: Option<bool>,
+    /// Start of the newest round that a quorum answered, on this process's clock: `commit` covers
+    /// everything that was committed before it. `None` unless this replica leads and has committed
+    /// an entry of its term. Not sent to other processes, whose clocks differ.
+    #[serde(skip)]
+    pub quorum_contact_at: Option<clock::Millis>,
 }
 
 impl Status {
@@ -74,6 +80,7 @@
         self.leader = None;
         self.progress.clear();
         self.is_repaired = None;
+        self.quorum_contact_at = None;
     }
 
     /// Returns the member that leads, if known.
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -15,7 +15,6 @@
 use std::collections;
 use std::io;
 use std::net;
-use std::path;
 use std::sync;
 
 /// Name of the group that replicates the catalogue.
@@ -35,7 +34,7 @@
     name: String,
     region: String,
     address: net::SocketAddr,
-    data: path::PathBuf,
+    data: Box<dyn disk::DataFolder>,
     timing: config::Config,
     clock: sync::Arc<dyn clock::Clock>,
     log: slog::Logger,
@@ -60,15 +59,24 @@
         clock: sync::Arc<dyn clock::Clock>,
         log: slog::Logger,
     ) -> sync::Arc<Host> {
-        Host::with_timing(process, control, config::Config::default(), clock, log)
+        let data = Box::new(disk::FolderData::new(&control.data));
+        Host::with_timing(
+            process,
+            control,
+            config::Config::default(),
+            data,
+            clock,
+            log,
+        )
     }
 
-    /// Creates the host of a process with the given timing of its groups. Must be called inside the
-    /// Tokio runtime.
+    /// Creates the host of a process with the given timing and data folder of its groups. Must be
+    /// called inside the Tokio runtime.
     pub fn with_timing(
         process: &model::Process,
         control: &model::Control,
         timing: config::Config,
+        data: Box<dyn disk::DataFolder>,
         clock: sync::Arc<dyn clock::Clock>,
         log: slog::Logger,
     ) -> sync::Arc<Host> {
@@ -78,7 +86,7 @@
             name: process.name.clone(),
             region: process.region.clone(),
             address,
-            data: control.data.clone(),
+            data,
             timing,
             clock,
             log,
@@ -230,10 +238,6 @@
     }
 }
 
-fn open_disk(data: &path::Path, group: &str) -> io::Result<disk::FolderDisk> {
-    disk::FolderDisk::open(&data.join(group))
-}
-
 /// Starts this process's replica of the group `name`, which `members` bootstrap.
 ///
 /// # Errors
@@ -254,7 +258,7 @@
             as sync::Arc<dyn nutmegdale_replica::transport::Transport>,
         clock: sync::Arc::clone(&host.clock),
         rng: Box::new(rng::SplitMix64::new(telemetry_clock::boot_id())),
-        disk: Box::new(open_disk(&host.data, name)?),
+        disk: host.data.open(name)?,
         log: host.log.clone(),
     };
     let started = driver::start(cfg, deps);
@@ -282,8 +286,9 @@
 /// Fails if a folder cannot be read or written, or holds a replica that belongs to a group or was
 /// not prepared.
 pub fn prepare(process: &model::Process, control: &model::Control) -> io::Result<()> {
+    let data = disk::FolderData::new(&control.data);
     for name in [CATALOGUE.to_owned(), ledger_group(&process.region)] {
-        if !prepare_group(&control.data, &name)? {
+        if !prepare_group(&data, &name)? {
             let text = format!("group {name}: the data folder already holds a replica");
             return Err(io::Error::other(text));
         }
@@ -297,8 +302,8 @@
 /// # Errors
 ///
 /// Fails if the folder cannot be read or written.
-pub fn prepare_group(data: &path::Path, name: &str) -> io::Result<bool> {
-    let disk = Box::new(open_disk(data, name)?);
+pub fn prepare_group(data: &dyn disk::DataFolder, name: &str) -> io::Result<bool> {
+    let disk = data.open(name)?;
     let limits = store::Limits::default();
     let failed = |err| io::Error::other(format!("group {name}: {err}"));
     match store::Store::open(disk, limits).map_err(failed)? {
--- a/crates/coordinator/src/gossip.rs
+++ b/crates/coordinator/src/gossip.rs
@@ -65,6 +65,10 @@
     pub commit: types::Index,
     /// Identities of the voters and learners.
     pub members: Vec<types::ReplicaId>,
+    /// Time since the leader started the newest round that a quorum answered; `None` before the
+    /// first entry of its term is committed.
+    #[serde(default)]
+    pub quorum_age: Option<clock::Millis>,
 }
 
 impl Group {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -2,13 +2,15 @@
 //!
 //! [`operations`] is the interface for operators, servers and entry processes, independent of any
 //! encoding; [`machine`] runs the registry as the state machine of the replicated log of
-//! `nutmegdale-replica`; [`entries`] is the soft-state table of live entry processes, which
+//! `nutmegdale-replica`; [`confirmation`] holds the evidence of how recent its state is;
+//! [`entries`] is the soft-state table of live entry processes, which
 //! [`gossip`] merges between coordinators; [`repair`] decides which member of the group to admit,
 //! promote or remove and [`service`] starts the coordinator. A front end listens to operators and
 //! passes in a [`nutmegdale_registry::config::Codec`] that decodes their documents. See
 //! [docs/platform.md](../../../docs/platform.md).
 
 mod calls;
+pub mod confirmation;
 pub mod entries;
 pub mod gossip;
 pub mod machine;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -12,6 +12,11 @@
     pub is_leader: IntGauge,
     /// Last applied index.
     pub applied: IntGauge,
+    /// Last index that this replica knows to be committed.
+    pub commit: IntGauge,
+    /// Age of the evidence that the registry of this replica is complete, in milliseconds; -1
+    /// without evidence.
+    pub confirmation_age_ms: IntGauge,
     /// Entry processes that callers may be sent to.
     pub entries: IntGauge,
     /// Membership changes that this process requested.
@@ -37,6 +42,14 @@
             "nutmegdale_coordinator_applied_index",
             "Last applied index.",
         );
+        let commit = gauge(
+            "nutmegdale_coordinator_commit_index",
+            "Last index known to be committed.",
+        );
+        let confirmation_age_ms = gauge(
+            "nutmegdale_coordinator_confirmation_age_ms",
+            "Age of the evidence that the registry is complete; -1 without evidence.",
+        );
         let entries = gauge(
             "nutmegdale_coordinator_entries",
             "Entry processes that callers may be sent to.",
@@ -49,7 +62,14 @@
         let registry = Registry::new();
         registry.register(Box::new(calls.clone())).expect(valid);
         registry.register(Box::new(repairs.clone())).expect(valid);
-        for gauge in [&is_leader, &applied, &entries] {
+        let gauges = [
+            &is_leader,
+            &applied,
+            &commit,
+            &confirmation_age_ms,
+            &entries,
+        ];
+        for gauge in gauges {
             registry.register(Box::new(gauge.clone())).expect(valid);
         }
         Metrics {
@@ -57,6 +77,8 @@
             calls,
             is_leader,
             applied,
+            commit,
+            confirmation_age_ms,
             entries,
             repairs,
         }
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -1,6 +1,6 @@
 //! Operations of a coordinator for operators, servers and entry processes.
 
-use crate::{calls, entries, gossip, machine, metrics};
+use crate::{calls, confirmation, entries, gossip, machine, metrics};
 use displaydoc::Display;
 use nutmegdale_base::clock;
 use nutmegdale_consensus::{status, types};
@@ -58,6 +58,7 @@
 pub(crate) struct SoftState {
     pub(crate) entries: entries::Entries,
     pub(crate) peers: gossip::Peers,
+    pub(crate) confirmation: confirmation::Confirmation,
     /// Entry processes of this coordinator, with their readiness, in the last list that each other
     /// coordinator has acknowledged.
     pub(crate) acked_entries: collections::HashMap<net::SocketAddr, Vec<(follow::Entry, bool)>>,
@@ -267,6 +268,30 @@
         proposed.unwrap_or(Err(handle::ProposeError::Unknown))
     }
 
+    /// Returns the last status that the replica published. It says what the replica believed then;
+    /// see [`confirmation`].
+    pub fn status(&self) -> sync::Arc<status::Status> {
+        self.handle.status()
+    }
+
+    /// Returns the version of the configuration in the registry of this replica.
+    pub fn version(&self) -> u64 {
+        self.shared.read(|state| state.version)
+    }
+
+    /// Returns how long ago every change accepted until then was in the registry of this replica;
+    /// `None` without evidence.
+    pub(crate) fn confirmation_age(&self) -> Option<clock::Millis> {
+        let status = self.handle.status();
+        let now = self.clock.now();
+        let mut soft = self.soft_state();
+        if let Some(proof) = confirmation::Proof::of_leader(&status) {
+            soft.confirmation.record(proof);
+        }
+        let confirmed_at = soft.confirmation.confirmed_at(status.applied);
+        confirmed_at.map(|at| now.since(at))
+    }
+
     /// Returns whether this replica leads or follows a known leader, so that it receives changes.
     pub fn is_current(&self) -> bool {
         let status = self.handle.status();
@@ -303,6 +328,8 @@
 
     fn sync_reply(&self, req: &follow::SyncRequest) -> follow::SyncReply {
         let now = self.clock.now();
+        // Read first: the registry may only be newer than its evidence.
+        let confirmation_age = self.confirmation_age();
         let since = self.shared.since(req.index);
         let soft = self.soft_state();
         let ready = soft.entries.ready(now);
@@ -318,6 +345,7 @@
             changes: since.changes,
             entries,
             coordinators: coordinators.collect(),
+            confirmation_age,
         }
     }
 
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -1,8 +1,8 @@
 //! Periodic work of a coordinator: gossip with the others and repair of the replicated group.
 
-use crate::{calls, gossip, operations, repair, service};
+use crate::{calls, confirmation, gossip, operations, repair, service};
 use nutmegdale_base::clock;
-use nutmegdale_consensus::status;
+use nutmegdale_consensus::{status, types};
 use nutmegdale_control::groups;
 use nutmegdale_registry::follow;
 use nutmegdale_rpc::{error, message};
@@ -35,6 +35,7 @@
         let mut repair = repair::Repair::default();
         let mut leads_since = None;
         let mut round_number = 0;
+        let mut is_confirmed = false;
         let mut round = tokio::time::interval(time::Duration::from_millis(ROUND_MS));
         round.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -51,6 +52,7 @@
             self.send_gossip(&status, now, round_number % ROUNDS_PER_BROADCAST == 0);
             round_number += 1;
             self.update_metrics(&status, now);
+            is_confirmed = self.log_confirmation(is_confirmed, &status);
             let is_leader = status.role == status::Role::Leader;
             leads_since = is_leader.then(|| leads_since.unwrap_or(now));
             if let Some(since) = leads_since {
@@ -66,15 +68,41 @@
         metrics
             .is_leader
             .set(i64::from(status.role == status::Role::Leader));
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        metrics.applied.set(gauge(status.applied.0));
+        let commit = status.commit.max(self.known_commit());
+        metrics.commit.set(gauge(commit.0));
+        let age = self.operations.confirmation_age();
         metrics
-            .applied
-            .set(i64::try_from(status.applied.0).unwrap_or(i64::MAX));
+            .confirmation_age_ms
+            .set(age.map_or(-1, |age| gauge(age.0)));
         let mut soft = self.operations.soft_state();
         soft.entries.expire(now);
         let entries = soft.entries.ready(now).len();
         metrics.entries.set(entries as i64);
     }
 
+    fn known_commit(&self) -> types::Index {
+        self.operations.soft_state().confirmation.known_commit()
+    }
+
+    /// Logs when the evidence that the registry is complete becomes too old, and when it is recent
+    /// again; returns whether it is recent.
+    fn log_confirmation(&self, was_confirmed: bool, status: &status::Status) -> bool {
+        let age = self.operations.confirmation_age();
+        let is_confirmed = age.is_some_and(|age| age <= confirmation::AGE_MAX_MS);
+        if is_confirmed != was_confirmed {
+            let event = match is_confirmed {
+                true => "registry confirmed",
+                false => "registry not confirmed",
+            };
+            slog::info!(self.operations.log, "{}", event; "age_ms" => age.map(|age| age.0),
+                "applied" => status.applied.0, "commit" => self.known_commit().0,
+                "role" => ?status.role, "term" => status.term.0);
+        }
+        is_confirmed
+    }
+
     /// Returns the state that this coordinator reports of itself.
     fn own_info(&self, status: &status::Status) -> gossip::PeerInfo {
         let is_leader = status.role == status::Role::Leader;
@@ -88,6 +116,9 @@
                 term: status.term,
                 commit: status.commit,
                 members: status.members.members.iter().map(|m| m.id).collect(),
+                quorum_age: status
+                    .quorum_contact_at
+                    .map(|at| self.operations.clock.now().since(at)),
             }),
         }
     }
@@ -160,6 +191,7 @@
         entries: Vec<(follow::Entry, bool)>,
     ) {
         let client = &self.operations.client;
+        let sent_at = self.operations.clock.now();
         let call = client.call_compact(target, calls::GOSSIP, &message, GOSSIP_TIMEOUT_MS);
         let reply: error::Result<gossip::Reply> = call.await;
         let now = self.operations.clock.now();
@@ -176,7 +208,11 @@
         for peer in reply.peers.into_iter().flatten() {
             soft.peers.update_indirect(now, peer);
         }
-        if reply.sender.leads.is_some() {
+        if let Some(group) = &reply.sender.leads {
+            if let Some(quorum_age) = group.quorum_age {
+                let proof = confirmation::Proof::of_reply(sent_at, quorum_age, group.commit);
+                soft.confirmation.record(proof);
+            }
             match &reply.ready {
                 Some(ready) => soft.entries.replace_indirect(now, ready),
                 None => soft.entries.refresh_indirect(now),
--- a/crates/coordinator/src/service.rs
+++ b/crates/coordinator/src/service.rs
@@ -7,6 +7,7 @@
 use nutmegdale_registry::config;
 use nutmegdale_rpc::{client, listen, server};
 use nutmegdale_settings::model;
+use nutmegdale_storage::disk;
 use nutmegdale_telemetry::limiter;
 use std::io;
 use std::net;
@@ -48,6 +49,19 @@
     pub cluster_token: String,
 }
 
+/// Dependencies of a coordinator that its caller provides.
+#[allow(missing_debug_implementations)] // Holds trait objects.
+pub struct Dependencies {
+    /// Decoder of configuration documents.
+    pub codec: sync::Arc<dyn config::Codec>,
+    /// Folder of the durable state.
+    pub data: Box<dyn disk::DataFolder>,
+    /// Clock of the process.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Logger of the process.
+    pub log: slog::Logger,
+}
+
 /// Running coordinator.
 #[allow(missing_debug_implementations)] // Holds trait objects.
 pub struct Coordinator {
@@ -69,11 +83,15 @@
     pub fn start(
         settings: Settings,
         seeds: watch::Receiver<Vec<net::SocketAddr>>,
-        codec: sync::Arc<dyn config::Codec>,
-        clock: sync::Arc<dyn clock::Clock>,
-        log: slog::Logger,
+        deps: Dependencies,
     ) -> io::Result<Coordinator> {
-        if settings.is_first_start && !groups::prepare_group(&settings.data, GROUP)? {
+        let Dependencies {
+            codec,
+            data,
+            clock,
+            log,
+        } = deps;
+        if settings.is_first_start && !groups::prepare_group(data.as_ref(), GROUP)? {
             slog::warn!(log, "bootstrap skipped: the data folder holds a replica");
         }
         let (process, control) = group_settings(&settings);
@@ -87,6 +105,7 @@
             &process,
             &control,
             timing,
+            data,
             sync::Arc::clone(&clock),
             log.clone(),
         );
--- a/crates/coordinator/tests/repair.rs
+++ b/crates/coordinator/tests/repair.rs
@@ -48,6 +48,7 @@
         members,
         progress: progress.collect(),
         is_repaired: Some(true),
+        quorum_contact_at: None,
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -137,6 +137,7 @@
             entries_digest: follow::entries_digest(&self.copy.entries),
             hold: HOLD_MS,
         };
+        let sent_at = self.shared.clock.now();
         let call = self.shared.client.call_compact(
             target,
             follow::SYNC,
@@ -168,7 +169,13 @@
                 return false;
             }
         }
+        let confirmed_at = reply
+            .confirmation_age
+            .map(|age| clock::Millis(sent_at.since(age).0));
         self.apply(now, reply, target);
+        if let Some(at) = confirmed_at {
+            self.shared.record_confirmation(at);
+        }
         is_current
     }
 
@@ -201,6 +208,7 @@
 
     /// Applies the changes of a reply and publishes a new table if there were any.
     fn apply(&mut self, now: clock::Millis, reply: follow::SyncReply, source: net::SocketAddr) {
+        let confirmation_age = reply.confirmation_age;
         if !self.copy.apply(now, reply) {
             return;
         }
@@ -221,7 +229,8 @@
         slog::info!(self.shared.log, "registry taken up"; "coordinator" => %source,
             "index" => table.registry_index, "version" => table.config_version,
             "servers" => table.servers_count(), "entries" => table.entries.len(),
-            "zones_out" => ?self.copy.zones_out);
+            "zones_out" => ?self.copy.zones_out,
+            "age_ms" => confirmation_age.map(|age| age.0));
         self.shared.publish(table);
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use nutmegdale_dispatch::health;
 use nutmegdale_registry::config;
 use nutmegdale_rpc::client;
+use nutmegdale_telemetry::metrics as telemetry;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -27,6 +28,9 @@
     /// Current routing table, replaced by read-copy-update.
     pub table: ArcSwap<table::Table>,
     is_configured: watch::Sender<bool>,
+    /// Time up to which the followed coordinator has confirmed the registry, in milliseconds on the
+    /// clock of the process.
+    confirmed_at_ms: atomic::AtomicU64,
     /// Token bucket that limits health checks.
     pub probe_budget: bucket::Bucket,
     /// Client for calls to coordinators.
@@ -72,6 +76,7 @@
             codec: dependencies.codec,
             table: ArcSwap::from_pointee(initial),
             is_configured: watch::channel(false).0,
+            confirmed_at_ms: atomic::AtomicU64::new(0),
             probe_budget: bucket::Bucket::new(),
             is_stopping: atomic::AtomicBool::new(false),
             metrics: metrics::Metrics::new(),
@@ -94,6 +99,23 @@
         self.is_configured.send_replace(is_configured);
     }
 
+    /// Records that every change accepted before `at` is in the routing table.
+    pub fn record_confirmation(&self, at: clock::Millis) {
+        self.confirmed_at_ms
+            .fetch_max(at.0, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns the metrics in the Prometheus text format.
+    pub fn metrics_text(&self) -> String {
+        let confirmed_at = clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Relaxed));
+        self.metrics.text(&[telemetry::Sample {
+            name: "nutmegdale_registry_confirmation_age_ms",
+            help: "Age of the evidence that the routing table has every accepted change.",
+            kind: telemetry::Kind::Gauge,
+            value: self.clock.now().since(confirmed_at).0,
+        }])
+    }
+
     /// Waits up to `limit` for the first configuration.
     pub async fn wait_configured(&self, limit: clock::Millis) {
         let mut is_configured = self.is_configured.subscribe();
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -64,6 +64,10 @@
     pub entries: Option<Vec<Entry>>,
     /// Coordinators that the follower can sync with.
     pub coordinators: Vec<Coordinator>,
+    /// How long before the reply every change accepted until then was in the coordinator's
+    /// registry; `None` without evidence.
+    #[serde(default)]
+    pub confirmation_age: Option<clock::Millis>,
 }
 
 /// Returns the digest by which two lists of entry processes are compared.
--- a/crates/registry/tests/state.rs
+++ b/crates/registry/tests/state.rs
@@ -164,6 +164,7 @@
     let newer = (copy.index > 0).then(|| feed.since(copy.index)).flatten();
     let reply = follow::SyncReply {
         is_current: true,
+        confirmation_age: None,
         index: state.index,
         is_whole: newer.is_none(),
         changes: newer.unwrap_or_else(|| state.full_changes()),
@@ -184,6 +185,7 @@
     sync(&mut copy, &state, &feed::Feed::default());
     let reply = follow::SyncReply {
         is_current: true,
+        confirmation_age: None,
         index: old.index,
         is_whole: true,
         changes: old.full_changes(),
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -70,6 +70,37 @@
     fn sync_folder(&self) -> io::Result<()>;
 }
 
+/// Data of a process, with one folder per replica.
+pub trait DataFolder: Send + Sync {
+    /// Opens the folder of the replica of the group `group`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be created or is in use.
+    fn open(&self, group: &str) -> io::Result<Box<dyn Disk>>;
+}
+
+/// Data folder in the file system.
+#[derive(Debug, Clone)]
+pub struct FolderData {
+    data: path::PathBuf,
+}
+
+impl FolderData {
+    /// Creates the interface to the data folder `data`; nothing is opened yet.
+    pub fn new(data: &path::Path) -> FolderData {
+        FolderData {
+            data: data.to_owned(),
+        }
+    }
+}
+
+impl DataFolder for FolderData {
+    fn open(&self, group: &str) -> io::Result<Box<dyn Disk>> {
+        Ok(Box::new(FolderDisk::open(&self.data.join(group))?))
+    }
+}
+
 /// File that a process locks to keep other processes from using the folder.
 const LOCK_FILE_NAME: &str = "lock";
 
--- a/crates/storage/src/fake.rs
+++ b/crates/storage/src/fake.rs
@@ -24,6 +24,7 @@
     capacity_bytes: Option<usize>,
     syncs_before_fault: Option<u64>,
     sync_count: u64,
+    is_stalled: bool,
 }
 
 /// In-memory disk. Clones share its state, so that a test can inject faults while a store owns
@@ -31,6 +32,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct FakeDisk {
     state: sync::Arc<sync::Mutex<State>>,
+    resumed: sync::Arc<sync::Condvar>,
 }
 
 impl FakeDisk {
@@ -45,6 +47,25 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Returns the state once the disk is not stalled.
+    fn responsive_state(&self) -> sync::MutexGuard<'_, State> {
+        let resumed = self
+            .resumed
+            .wait_while(self.state(), |state| state.is_stalled);
+        resumed.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Makes writes and syncs wait until [`FakeDisk::resume`].
+    pub fn stall(&self) {
+        self.state().is_stalled = true;
+    }
+
+    /// Ends a stall.
+    pub fn resume(&self) {
+        self.state().is_stalled = false;
+        self.resumed.notify_all();
+    }
+
     /// Makes every sync fail after `count` more.
     pub fn fail_sync_after(&self, count: u64) {
         self.state().syncs_before_fault = Some(count);
@@ -72,6 +93,7 @@
         };
         FakeDisk {
             state: sync::Arc::new(sync::Mutex::new(copy)),
+            resumed: sync::Arc::default(),
         }
     }
 
@@ -199,13 +221,20 @@
     }
 
     fn sync_folder(&self) -> io::Result<()> {
-        let mut state = self.state();
+        let mut state = self.responsive_state();
         state.count_sync()?;
         state.durable_names = state.names.clone();
         Ok(())
     }
 }
 
+impl disk::DataFolder for FakeDisk {
+    /// Opens this disk as the folder of the process's only replica.
+    fn open(&self, _group: &str) -> io::Result<Box<dyn disk::Disk>> {
+        Ok(Box::new(self.clone()))
+    }
+}
+
 #[derive(Debug)]
 struct FakeFile {
     disk: FakeDisk,
@@ -214,7 +243,7 @@
 
 impl disk::DiskFile for FakeFile {
     fn write_at(&mut self, offset: u64, buf: &[u8]) -> io::Result<()> {
-        let mut state = self.disk.state();
+        let mut state = self.disk.responsive_state();
         let end = offset as usize + buf.len();
         let used: usize = state.inodes.values().map(|i| i.content.len()).sum();
         let capacity = state.capacity_bytes.unwrap_or(usize::MAX);
@@ -238,7 +267,7 @@
     }
 
     fn sync(&mut self) -> io::Result<()> {
-        let mut state = self.disk.state();
+        let mut state = self.disk.responsive_state();
         state.count_sync()?;
         let inode = state.inodes.entry(self.inode).or_default();
         inode.durable = inode.content.clone();
