--- a/crates/coordinator/src/confirmation.rs
+++ b/crates/coordinator/src/confirmation.rs
@@ -17,7 +17,20 @@
 /// Age up to which evidence counts as recent: two rounds of gossip, of which one may be lost, and one
 /// heartbeat of the leader. An acknowledged change must reach all entry processes within 2 s, and
 /// an entry process whose coordinator misses a change has to ask another one within that time.
-pub const AGE_MAX_MS: clock::Millis = clock::Millis(1_200);
+const AGE_MAX_MS: clock::Millis = clock::Millis(1_200);
+
+/// Returns whether evidence of this age is recent; without evidence, it is not.
+pub fn is_recent(age: Option<clock::Millis>) -> bool {
+    age.is_some_and(|age| age <= AGE_MAX_MS)
+}
+
+/// Returns how long evidence of this age remains recent, at least 1 ms.
+pub fn recent_for(age: Option<clock::Millis>) -> clock::Millis {
+    let age = age.unwrap_or(clock::Millis::MAX);
+    (AGE_MAX_MS + clock::Millis(1))
+        .since(age)
+        .max(clock::Millis(1))
+}
 
 /// Statement of a leader about the committed log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -20,7 +20,7 @@
 /// Longest wait for a leader, below one second for the same reason.
 const LEADER_WAIT_MS: u64 = 600;
 /// Interval at which a held sync checks the list of entry processes, which sends no notification.
-const ENTRIES_POLL_MS: u64 = 250;
+const ENTRIES_POLL_MS: clock::Millis = clock::Millis(250);
 /// Time without an announcement after which a server is removed. It is long, since a server that
 /// cannot reach coordinators may still be reachable from entry processes.
 const SERVER_EXPIRY_MS: clock::Millis = clock::Millis(60_000);
@@ -292,14 +292,10 @@
         confirmed_at.map(|at| now.since(at))
     }
 
-    /// Returns whether this replica leads or follows a known leader, so that it receives changes.
+    /// Returns whether there is recent evidence that the registry of this replica has every accepted
+    /// change. The role and the leader in its status are no evidence; see [`confirmation`].
     pub fn is_current(&self) -> bool {
-        let status = self.handle.status();
-        match status.role {
-            status::Role::Leader => true,
-            status::Role::Follower | status::Role::Learner => status.leader.is_some(),
-            _ => false,
-        }
+        confirmation::is_recent(self.confirmation_age())
     }
 
     /// Answers the sync of an entry process as a long poll: on the first change, or when the hold
@@ -319,9 +315,11 @@
             if has_changes || !reply.is_current || elapsed >= req.hold {
                 return reply;
             }
-            let wait = req.hold.since(elapsed).0.min(ENTRIES_POLL_MS);
+            let wait = req.hold.since(elapsed).min(ENTRIES_POLL_MS);
+            let wait = wait.min(confirmation::recent_for(reply.confirmation_age));
+            let wait = time::Duration::from_millis(wait.0);
             // The loop checks again after a new index as well as after the timeout.
-            let woken = tokio::time::timeout(time::Duration::from_millis(wait), index.changed());
+            let woken = tokio::time::timeout(wait, index.changed());
             drop(woken.await);
         }
     }
@@ -339,7 +337,7 @@
             zone: peer.zone.clone(),
         });
         follow::SyncReply {
-            is_current: self.is_current(),
+            is_current: confirmation::is_recent(confirmation_age),
             index: since.index,
             is_whole: since.is_whole,
             changes: since.changes,
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -15,6 +15,9 @@
 
 /// Interval of the rounds.
 const ROUND_MS: u64 = 500;
+/// Interval of the rounds while a leader is known and the registry is not confirmed. Entry processes
+/// find no current coordinator but the leader in this time, as after a start or an election.
+const UNCONFIRMED_ROUND_MS: u64 = 50;
 /// Timeout of a gossip message.
 const GOSSIP_TIMEOUT_MS: clock::Millis = clock::Millis(1_000);
 /// Every this many rounds, gossip goes to all coordinators instead of the leader alone, so that it
@@ -36,10 +39,7 @@
         let mut leads_since = None;
         let mut round_number = 0;
         let mut is_confirmed = false;
-        let mut round = tokio::time::interval(time::Duration::from_millis(ROUND_MS));
-        round.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            round.tick().await;
             let now = self.operations.clock.now();
             let status = self.operations.handle.status();
             if status.role == status::Role::Stopped {
@@ -53,12 +53,27 @@
             round_number += 1;
             self.update_metrics(&status, now);
             is_confirmed = self.log_confirmation(is_confirmed, &status);
-            let is_leader = status.role == status::Role::Leader;
+            // A leader whose thread is stuck may have been replaced, and would not answer.
+            let is_leader = is_confirmed && status.role == status::Role::Leader;
             leads_since = is_leader.then(|| leads_since.unwrap_or(now));
             if let Some(since) = leads_since {
                 self.repair(&mut repair, &status, now).await;
                 self.operations.expire_servers(now.since(since)).await;
             }
+            self.wait_for_next(is_confirmed).await;
+        }
+    }
+
+    /// Waits until the next round is due.
+    async fn wait_for_next(&self, is_confirmed: bool) {
+        let round = time::Duration::from_millis(ROUND_MS);
+        if is_confirmed {
+            return tokio::time::sleep(round).await;
+        }
+        let mut status = self.operations.handle.subscribe();
+        let leader_known = status.wait_for(|status| status.leader.is_some());
+        if tokio::time::timeout(round, leader_known).await.is_ok() {
+            tokio::time::sleep(time::Duration::from_millis(UNCONFIRMED_ROUND_MS)).await;
         }
     }
 
@@ -90,7 +105,7 @@
     /// again; returns whether it is recent.
     fn log_confirmation(&self, was_confirmed: bool, status: &status::Status) -> bool {
         let age = self.operations.confirmation_age();
-        let is_confirmed = age.is_some_and(|age| age <= confirmation::AGE_MAX_MS);
+        let is_confirmed = confirmation::is_recent(age);
         if is_confirmed != was_confirmed {
             let event = match is_confirmed {
                 true => "registry confirmed",
@@ -105,7 +120,10 @@
 
     /// Returns the state that this coordinator reports of itself.
     fn own_info(&self, status: &status::Status) -> gossip::PeerInfo {
-        let is_leader = status.role == status::Role::Leader;
+        let now = self.operations.clock.now();
+        let quorum_age = status.quorum_contact_at.map(|at| now.since(at));
+        // A leader whose quorum has not answered for long may have been replaced.
+        let is_leader = status.role == status::Role::Leader && confirmation::is_recent(quorum_age);
         gossip::PeerInfo {
             address: self.settings.listen,
             public: self.settings.public,
@@ -116,9 +134,7 @@
                 term: status.term,
                 commit: status.commit,
                 members: status.members.members.iter().map(|m| m.id).collect(),
-                quorum_age: status
-                    .quorum_contact_at
-                    .map(|at| self.operations.clock.now().since(at)),
+                quorum_age,
             }),
         }
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,8 +16,8 @@
 const BACKOFF_MS: u64 = 100;
 /// Time after a failover after which the nearest coordinator is tried again.
 const FAILBACK_MS: clock::Millis = clock::Millis(5_000);
-/// Time without a current coordinator after which a response of one without a leader is used, since
-/// outdated data is better than none.
+/// Time without a current coordinator after which a response of one that is not current is used,
+/// since outdated data is better than none.
 const STALE_AFTER_MS: clock::Millis = clock::Millis(2_500);
 
 /// Task that follows the registry and publishes routing tables.
@@ -32,7 +32,7 @@
     decoded_version: u64,
     /// Coordinators that the last current response named.
     coordinators: Vec<follow::Coordinator>,
-    /// Time of the last response from a coordinator with a leader.
+    /// Time of the last response from a current coordinator.
     last_current: clock::Millis,
     /// Time of the first failure since the nearest coordinator was last tried; starts the failback
     /// delay.
@@ -164,7 +164,7 @@
             self.coordinators.clone_from(&reply.coordinators);
             self.log_followed(target);
         } else {
-            self.log_lost(target, &"coordinator has no leader");
+            self.log_lost(target, &"coordinator is not current");
             if !is_stale {
                 return false;
             }
@@ -185,7 +185,7 @@
         self.shared.codec.decode(&document)
     }
 
-    /// Logs that the followed coordinator failed or lost its leader.
+    /// Logs that the followed coordinator failed or is no longer current.
     fn log_lost(&mut self, target: net::SocketAddr, reason: &dyn std::fmt::Display) {
         if self
             .followed
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -51,8 +51,8 @@
 /// Reply of a coordinator.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncReply {
-    /// Whether the coordinator is in contact with a leader. Otherwise it may have missed changes,
-    /// and the follower tries another coordinator.
+    /// Whether the coordinator has recent evidence that it has every accepted change. Otherwise the
+    /// follower tries another coordinator.
     pub is_current: bool,
     /// Index of the last command that the changes include.
     pub index: u64,
