--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -266,8 +266,14 @@
     };
     let (head, incoming) = response.into_parts();
     let metadata = shared.dialect.parse_response(head.status, &head.headers);
-    if metadata.request_id.is_some_and(|id| id != &*request_id) {
-        // The response belongs to an earlier request; it is unknown whether this one ran.
+    // Servers repeat the identifier of a request in its response. On a reused connection a response
+    // without it may be one that an earlier request or health check got, sent once more.
+    let is_own = match metadata.request_id {
+        Some(id) => id == &*request_id,
+        None => !connection.is_reused || request_id.is_empty(),
+    };
+    if !is_own {
+        // It is unknown whether this request ran.
         in_flight.record_failure(health::Failure::Answer);
         return AttemptResult::Unknown(outcome::Reason::BrokenAnswer);
     }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -131,6 +131,10 @@
     body.collect().await.map_err(|_| err)?;
     let now = shared.clock.now();
     let metadata = shared.dialect.parse_response(head.status, &head.headers);
+    if metadata.request_id.is_some() {
+        // The response belongs to an earlier request: a health check has no identifier.
+        return Err(ProbeError::Failed(health::Failure::Answer));
+    }
     if metadata
         .server_id
         .is_some_and(|server| server != backend.id())
--- /dev/null
+++ b/crates/gateway/tests/misbehaving_servers.rs
@@ -0,0 +1,252 @@
+//! Tests of servers whose bytes break the rules of HTTP/1.1: responses that are sent twice, and
+//! bytes without end.
+
+use nutmegdale_base::class;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+mod stub;
+
+/// Timeout of the requests; see the dialect of the stub.
+const TIMEOUT: time::Duration = time::Duration::from_millis(900);
+/// Time after the timeout within which the caller must have its final response and the server must
+/// have seen its connection closed.
+const SLACK: time::Duration = time::Duration::from_millis(600);
+
+/// Raw server: answers each request head with what `respond` returns.
+struct RawServer {
+    address: net::SocketAddr,
+    requests: sync::Arc<sync::Mutex<Vec<String>>>,
+}
+
+/// What a raw server writes after it has read a request.
+enum Output {
+    /// Bytes, after which the connection is kept.
+    Bytes(String),
+    /// Bytes, and then the second string again and again until the connection is closed.
+    Endless(String, String),
+}
+
+impl RawServer {
+    /// Starts a server; `respond` gets the number of the request on its connection, from 0, and its
+    /// head.
+    async fn start(
+        written: &sync::Arc<atomic::AtomicUsize>,
+        respond: impl Fn(usize, &str) -> Output + Send + Sync + 'static,
+    ) -> RawServer {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let requests = sync::Arc::new(sync::Mutex::new(Vec::new()));
+        let (log, respond) = (sync::Arc::clone(&requests), sync::Arc::new(respond));
+        let written = sync::Arc::clone(written);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (log, respond) = (sync::Arc::clone(&log), sync::Arc::clone(&respond));
+                let written = sync::Arc::clone(&written);
+                tokio::spawn(async move { serve(stream, &log, respond.as_ref(), &written).await });
+            }
+        });
+        RawServer { address, requests }
+    }
+
+    /// Returns how many requests with the identifier `id` arrived.
+    fn arrivals(&self, id: &str) -> usize {
+        let requests = self.requests.lock().expect("no server panicked");
+        let line = format!("id: {id}\r\n");
+        requests.iter().filter(|head| head.contains(&line)).count()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    log: &sync::Mutex<Vec<String>>,
+    respond: &(impl Fn(usize, &str) -> Output + ?Sized),
+    written: &atomic::AtomicUsize,
+) {
+    for n in 0.. {
+        let Some(head) = read_request(&mut stream).await else {
+            return;
+        };
+        log.lock().expect("no test panicked").push(head.clone());
+        match respond(n, &head) {
+            Output::Bytes(bytes) => {
+                if stream.write_all(bytes.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Output::Endless(first, repeated) => {
+                let chunk = repeated.repeat(16 * 1024 / repeated.len().max(1));
+                let mut bytes = first.into_bytes();
+                while stream.write_all(&bytes).await.is_ok() {
+                    written.fetch_add(bytes.len(), atomic::Ordering::Relaxed);
+                    bytes = chunk.clone().into_bytes();
+                }
+                return;
+            }
+        }
+    }
+}
+
+/// Reads the head of a request and its body of 4 bytes, if it has one.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut buf = Vec::new();
+    while !buf.ends_with(b"\r\n\r\n") {
+        buf.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8_lossy(&buf).to_lowercase();
+    if head.contains("content-length: 4") {
+        stream.read_exact(&mut [0; 4]).await.ok()?;
+    }
+    Some(head)
+}
+
+fn is_health_check(head: &str) -> bool {
+    head.starts_with("get /health")
+}
+
+fn id_of(head: &str) -> &str {
+    let id = head.lines().find_map(|line| line.strip_prefix("id: "));
+    id.unwrap_or("")
+}
+
+fn ok(headers: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\n{headers}content-length: 2\r\n\r\nok")
+}
+
+const REFUSAL: &str = "HTTP/1.1 503 Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against a one-time request that is reported as not run, and run by a second server, since
+/// its server sent an earlier refusal of a health check once more on the same connection.
+#[tokio::test]
+async fn refusal_that_is_sent_again_does_not_count_for_the_next_request() {
+    let written = sync::Arc::default();
+    let respond = |n: usize, head: &str| {
+        let own = match is_health_check(head) {
+            true => REFUSAL.to_owned(),
+            false => ok(&format!("signed: 1\r\nid: {}\r\n", id_of(head))),
+        };
+        // The second request on a connection gets the refusal of the first one before its own.
+        Output::Bytes(match n {
+            0 => own,
+            _ => format!("{REFUSAL}{own}"),
+        })
+    };
+    let servers = [
+        RawServer::start(&written, respond).await,
+        RawServer::start(&written, respond).await,
+    ];
+    let addresses = servers.each_ref().map(|server| server.address);
+    let harness = stub::Harness::start_with(class::Class::OneTimeFiling, &addresses).await;
+    for n in 0..20 {
+        let id = format!("filing-{n}");
+        let response = harness.send(&id).await;
+        let arrivals: usize = servers.iter().map(|server| server.arrivals(&id)).sum();
+        assert!(arrivals <= 1, "{id} reached {arrivals} servers");
+        assert!(
+            arrivals == 0 || response.status != 503,
+            "{id} ran and was reported as not run"
+        );
+    }
+}
+
+/// Runs one lookup against a server that writes without end, and checks that the caller has its
+/// final response in time, that the server sees its connection closed, and that little was read.
+async fn check_endless(respond: impl Fn(usize, &str) -> Output + Send + Sync + 'static) {
+    const READ_MAX_BYTES: usize = 32 * 1024 * 1024;
+    let written = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let server = RawServer::start(&written, respond).await;
+    let harness = stub::Harness::start_with(class::Class::UrgentLookup, &[server.address]).await;
+    let response = tokio::time::timeout(TIMEOUT + SLACK, harness.try_send("lookup")).await;
+    assert!(response.is_ok(), "no final response in time");
+    tokio::time::sleep(SLACK).await;
+    let before = written.load(atomic::Ordering::Relaxed);
+    tokio::time::sleep(SLACK).await;
+    let after = written.load(atomic::Ordering::Relaxed);
+    assert_eq!(before, after, "the server can still write");
+    assert!(after < READ_MAX_BYTES, "{after} bytes were read");
+}
+
+fn health_or(head: &str, output: Output) -> Output {
+    match is_health_check(head) {
+        true => Output::Bytes(ok("")),
+        false => output,
+    }
+}
+
+fn endless(first: &str, repeated: &str) -> Output {
+    Output::Endless(first.to_owned(), repeated.to_owned())
+}
+
+/// Guards against a response head that is read without a limit.
+#[tokio::test]
+async fn endless_head_is_cut_off() {
+    let head = "HTTP/1.1 200 OK\r\n";
+    check_endless(move |_, req| health_or(req, endless(head, "x"))).await;
+    check_endless(move |_, req| health_or(req, endless(head, "x: y\r\n"))).await;
+}
+
+/// Guards against interim responses that are read without a limit.
+#[tokio::test]
+async fn endless_interim_responses_are_cut_off() {
+    let interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    check_endless(move |_, req| health_or(req, endless("", interim))).await;
+}
+
+/// Guards against an invalid response whose body is read without a limit.
+#[tokio::test]
+async fn endless_body_of_an_invalid_response_is_cut_off() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    check_endless(move |_, req| health_or(req, endless(head, "x"))).await;
+}
+
+/// Guards against a response that is forwarded beyond the timeout of its request because its body
+/// does not end.
+#[tokio::test]
+async fn endless_body_of_a_valid_response_ends_at_the_timeout() {
+    let respond = |_: usize, req: &str| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nsigned: 1\r\nid: {}\r\ntransfer-encoding: chunked\r\n\r\n",
+            id_of(req)
+        );
+        let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
+        health_or(req, endless(&head, &chunk))
+    };
+    let written = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let server = RawServer::start(&written, respond).await;
+    let harness = stub::Harness::start_with(class::Class::UrgentLookup, &[server.address]).await;
+    let sent = harness.try_send("lookup");
+    let response = tokio::time::timeout(TIMEOUT + SLACK, sent).await;
+    let response = response.expect("the response ends at the timeout");
+    assert!(response.is_err(), "the response does not look complete");
+}
+
+/// Guards against health checks that read without a limit: several of them would use up the memory
+/// of the process before they time out.
+#[tokio::test]
+async fn endless_body_of_a_health_check_is_cut_off() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    check_endless(move |_, req| match is_health_check(req) {
+        true => endless(head, "x"),
+        false => Output::Bytes(ok(&format!("signed: 1\r\nid: {}\r\n", id_of(req)))),
+    })
+    .await;
+}
+
+/// Guards against a caller that waits until its timeout for the rest of a refusal, whose head
+/// already says that the request did not run.
+#[tokio::test]
+async fn refusal_is_reported_before_its_body_ends() {
+    let written = sync::Arc::default();
+    let refusal = "HTTP/1.1 503 Unavailable\r\nnot-run: 1\r\ncontent-length: 10\r\n\r\n";
+    let respond = move |_: usize, req: &str| health_or(req, Output::Bytes(refusal.to_owned()));
+    let server = RawServer::start(&written, respond).await;
+    let harness = stub::Harness::start_with(class::Class::OneTimeFiling, &[server.address]).await;
+    let start = time::Instant::now();
+    let response = harness.send("filing").await;
+    assert_eq!(response.status, 503);
+    assert!(start.elapsed() < TIMEOUT / 2, "{:?}", start.elapsed());
+}
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -1,5 +1,7 @@
 //! Test harness: a gateway with a fixed registry, and stub backend servers.
 
+#![allow(dead_code)] // Each test file uses only some of the helpers.
+
 mod server;
 
 use http_body_util::BodyExt;
@@ -17,6 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+#[allow(unused_imports)] // Each test file uses only some of them.
 pub(crate) use server::{Behaviour, HEALTH_ID};
 
 /// Response that a caller received.
@@ -100,7 +103,33 @@
         behaviours: &[Behaviour],
     ) -> Harness {
         let log = server::RequestLog::default();
-        let copy = registry_with(behaviours, &log).await;
+        let mut servers = Vec::new();
+        for behaviour in behaviours {
+            let zone = match behaviour {
+                Behaviour::Late => "far",
+                _ => "zone",
+            };
+            let address = server::start(*behaviour, sync::Arc::clone(&log)).await;
+            servers.push((address, zone));
+        }
+        Harness::start_gateway(class, &servers, log).await
+    }
+
+    /// Starts a configured gateway with servers that the test runs itself.
+    pub(crate) async fn start_with(class: class::Class, servers: &[net::SocketAddr]) -> Harness {
+        let servers: Vec<_> = servers.iter().map(|address| (*address, "zone")).collect();
+        let log = server::RequestLog::default();
+        let harness = Harness::start_gateway(class, &servers, log).await;
+        harness.configure();
+        harness
+    }
+
+    async fn start_gateway(
+        class: class::Class,
+        servers: &[(net::SocketAddr, &str)],
+        log: server::RequestLog,
+    ) -> Harness {
+        let copy = registry_of(servers);
         let settings = sync::Arc::new(settings());
         let mut builder = table::Builder::new(sync::Arc::clone(&settings));
         let empty = builder.build(clock::Millis::ZERO, &follow::LocalCopy::default(), None);
@@ -167,8 +196,13 @@
         self.shared.publish(table);
     }
 
-    /// Sends a request and reads the response.
+    /// Sends a request and reads the response, which must be complete.
     pub(crate) async fn send(&self, id: &str) -> CallerResponse {
+        self.try_send(id).await.expect("a complete response")
+    }
+
+    /// Sends a request and reads the response.
+    pub(crate) async fn try_send(&self, id: &str) -> Result<CallerResponse, hyper::Error> {
         let stream = TcpStream::connect(self.address).await.expect("a gateway");
         let io = rt::TokioIo::new(stream);
         let handshake = hyper::client::conn::http1::handshake(io).await;
@@ -179,15 +213,15 @@
             .header("id", id)
             .body(listen::full("body"))
             .expect("a valid request");
-        let response = sender.send_request(req).await.expect("a response");
+        let response = sender.send_request(req).await?;
         let (head, body) = response.into_parts();
         let retry_after = head.headers.get(header::RETRY_AFTER);
-        let body = body.collect().await.expect("a complete body").to_bytes();
-        CallerResponse {
+        let body = body.collect().await?.to_bytes();
+        Ok(CallerResponse {
             status: head.status.as_u16(),
             body: String::from_utf8_lossy(&body).into_owned(),
             retry_after: retry_after.and_then(|secs| secs.to_str().ok()?.parse().ok()),
-        }
+        })
     }
 
     /// Sends a request and closes the connection after `wait`, before there is a response.
@@ -227,24 +261,21 @@
     }
 }
 
-/// Starts the servers and returns a registry that contains them.
-async fn registry_with(behaviours: &[Behaviour], log: &server::RequestLog) -> follow::LocalCopy {
+/// Returns a registry that contains the servers, given by address and zone.
+fn registry_of(servers: &[(net::SocketAddr, &str)]) -> follow::LocalCopy {
     let mut copy = follow::LocalCopy {
         index: 1,
         version: 1,
         ..follow::LocalCopy::default()
     };
-    for (n, behaviour) in behaviours.iter().enumerate() {
+    for (n, (address, zone)) in servers.iter().enumerate() {
         let announcement = registry::Announcement {
             id: format!("s{n}"),
             born: 1,
             sequence: 1,
             service: "service".to_owned(),
-            address: server::start(*behaviour, sync::Arc::clone(log)).await,
-            zone: match behaviour {
-                Behaviour::Late => "far".to_owned(),
-                _ => "zone".to_owned(),
-            },
+            address: *address,
+            zone: (*zone).to_owned(),
             slots: 4,
             state: registry::State::Ready,
             cold_left: clock::Millis::ZERO,
