--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -14,6 +14,8 @@
 /// Timeout of a health check. On a reused connection a health check needs no slot of the server, so
 /// this only covers the network and a slow VM.
 const TIMEOUT_MS: u64 = 400;
+/// Maximum size of the body of a response to a health check, in bytes.
+const BODY_MAX_BYTES: usize = 64 * 1024;
 /// Percentage of the allowed health checks that is used; the rest is reserved for processes that
 /// join.
 const USED_PERCENT: f64 = 70.0;
@@ -128,7 +130,15 @@
     let response = connection.sender.send_request(req).await;
     let response = response.map_err(|_| err)?;
     let (head, body) = response.into_parts();
-    body.collect().await.map_err(|_| err)?;
+    let collected = http_body_util::Limited::new(body, BODY_MAX_BYTES)
+        .collect()
+        .await;
+    collected.map_err(
+        |cause| match cause.is::<http_body_util::LengthLimitError>() {
+            true => ProbeError::Failed(health::Failure::Answer),
+            false => err,
+        },
+    )?;
     let now = shared.clock.now();
     let metadata = shared.dialect.parse_response(head.status, &head.headers);
     if metadata.request_id.is_some() {
