gateway tests: name the request in the refusals of the stub server

The stub's refusals did not repeat the identifier of their request, as all other responses of the stub and those of real servers do; on a reused connection such a refusal is no evidence any more. The assertions of the test are unchanged.

--- a/crates/gateway/tests/stub/server.rs
+++ b/crates/gateway/tests/stub/server.rs
@@ -122,7 +122,10 @@
             tokio::time::sleep(time::Duration::from_millis(120)).await;
             signed.header("id", &id).status(500).body(body())
         }
-        Behaviour::Refuse => unsigned.header("not-run", "1").status(503).body(body()),
+        Behaviour::Refuse => {
+            let refusal = unsigned.header("not-run", "1").header("id", &id);
+            refusal.status(503).body(body())
+        }
         Behaviour::WrongId => signed.header("id", "another").body(body()),
         Behaviour::Unsigned => unsigned.header("id", &id).body(body()),
         Behaviour::Truncate => signed.header("id", &id).body(truncated()),
