--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 //! server states that it did not run it; a response is forwarded only if it belongs to this request
 //! and, up to the buffering limit, only once it is complete.
 
-use crate::{backend, dialect, metrics, payload, pool, state};
+use crate::{backend, call, dialect, metrics, payload, pool, state};
 use bytes::Bytes;
 use hyper::{body, header};
 use nutmegdale_base::{clock, outcome};
@@ -306,10 +306,14 @@
             state::checkin(&attempt.backend, in_flight.now(), connection, &head.headers);
             payload.into_body()
         }
-        Some(_) => listen::Body::new(ConnectionBody {
-            body: payload.into_body(),
-            _connection: connection,
-        }),
+        Some(_) => {
+            let end = attempt.deadline + call::DEADLINE_MARGIN_MS;
+            listen::Body::new(ConnectionBody {
+                body: payload.into_body(),
+                timeout: Box::pin(tokio::time::sleep(duration(end.since(in_flight.now())))),
+                _connection: connection,
+            })
+        }
     };
     AttemptResult::Answered(Response {
         status: head.status,
@@ -338,9 +342,11 @@
     req
 }
 
-/// Streamed body that keeps its connection open until it is dropped.
+/// Streamed body that keeps its connection open until it is dropped, and that fails at the timeout
+/// of the request.
 struct ConnectionBody {
     body: listen::Body,
+    timeout: pin::Pin<Box<tokio::time::Sleep>>,
     _connection: pool::Connection,
 }
 
@@ -352,6 +358,10 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, listen::BodyError>>> {
+        if self.timeout.as_mut().poll(cx).is_ready() {
+            let err = listen::BodyError::from("response did not end before its timeout");
+            return task::Poll::Ready(Some(Err(err)));
+        }
         pin::Pin::new(&mut self.body).poll_frame(cx)
     }
 
