--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,10 @@
 /// failure of the server.
 const SILENCE_SLACK_MS: clock::Millis = clock::Millis(150);
 
+/// Time for the body of a refusal, which arrives with its head. Waiting longer would delay the next
+/// attempt to save a connection.
+const REFUSAL_BODY_MS: clock::Millis = clock::Millis(50);
+
 /// Head of a caller's request, shared by its attempts.
 #[derive(Debug, Clone)]
 pub struct Head {
@@ -283,21 +287,22 @@
         return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
     }
     let is_not_run = metadata.is_not_run;
+    if is_not_run {
+        in_flight.record_refusal(metadata.report);
+        if is_short(incoming).await {
+            state::checkin(&attempt.backend, in_flight.now(), connection, &head.headers);
+        }
+        return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
+    }
     let is_valid = !head.status.is_success()
         || (metadata.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
     let payload = match payload::Payload::read(incoming).await {
-        Ok(payload) if is_valid || is_not_run => payload,
-        _ if is_not_run => return AttemptResult::NotRun(outcome::Reason::ServerRefused, true),
+        Ok(payload) if is_valid => payload,
         _ => {
             in_flight.record_failure(health::Failure::Answer);
             return AttemptResult::Unknown(outcome::Reason::BrokenAnswer);
         }
     };
-    if is_not_run {
-        in_flight.record_refusal(metadata.report);
-        state::checkin(&attempt.backend, in_flight.now(), connection, &head.headers);
-        return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
-    }
     in_flight.record_response(head.status);
     let last = attempt.backend.signal.last_report(in_flight.now());
     let buffered_bytes = payload.buffered.len() as u64;
@@ -326,6 +331,14 @@
     })
 }
 
+/// Reads the body of a refusal, whose head says all there is to know; returns whether it ended soon,
+/// so that its connection can be reused.
+async fn is_short(body: body::Incoming) -> bool {
+    let payload = payload::Payload::read(body);
+    let read = tokio::time::timeout(duration(REFUSAL_BODY_MS), payload).await;
+    matches!(read, Ok(Ok(payload)) if payload.rest.is_none())
+}
+
 /// Returns the request for the server, without its body.
 fn request_head(
     shared: &state::Shared,
--- a/crates/gateway/tests/misbehaving_servers.rs
+++ b/crates/gateway/tests/misbehaving_servers.rs
@@ -241,8 +241,11 @@
 #[tokio::test]
 async fn refusal_is_reported_before_its_body_ends() {
     let written = sync::Arc::default();
-    let refusal = "HTTP/1.1 503 Unavailable\r\nnot-run: 1\r\ncontent-length: 10\r\n\r\n";
-    let respond = move |_: usize, req: &str| health_or(req, Output::Bytes(refusal.to_owned()));
+    let respond = |_: usize, req: &str| {
+        let headers = format!("not-run: 1\r\nid: {}\r\ncontent-length: 10\r\n", id_of(req));
+        let refusal = format!("HTTP/1.1 503 Unavailable\r\n{headers}\r\n");
+        health_or(req, Output::Bytes(refusal))
+    };
     let server = RawServer::start(&written, respond).await;
     let harness = stub::Harness::start_with(class::Class::OneTimeFiling, &[server.address]).await;
     let start = time::Instant::now();
