--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -25,6 +25,9 @@
 /// cannot reach coordinators may still be reachable from entry processes.
 const SERVER_EXPIRY_MS: clock::Millis = clock::Millis(60_000);
 
+/// Maximum number of characters of the identifier of a rejected announcement in the log.
+const LOGGED_ID_MAX_CHARS: usize = 64;
+
 /// Maximum number of log lines on announcements per second.
 pub(crate) const ANNOUNCEMENT_LINES_PER_SECOND: u64 = 30;
 
@@ -37,6 +40,8 @@
     Unknown,
     /// the configuration is invalid: {0}
     Invalid(config::Error),
+    /// the announcement is implausible: {0}
+    Implausible(server::Error),
 }
 
 impl std::error::Error for Error {}
@@ -176,8 +181,13 @@
     ///
     /// # Errors
     ///
-    /// As [`Operations::propose`].
+    /// `Implausible` names the rule that the announcement breaks; nothing was changed. Otherwise as
+    /// [`Operations::propose`].
     pub async fn announce(&self, announcement: server::Announcement) -> Result<()> {
+        if let Err(err) = server::check(&announcement) {
+            self.log_rejected(&announcement, &err);
+            return Err(Error::Implausible(err));
+        }
         self.record_announcement(&announcement.id);
         // A replica that has just started has applied nothing until a leader sends its commit
         // index; until then every announcement would look like a change.
@@ -196,6 +206,14 @@
         reply.map(drop)
     }
 
+    fn log_rejected(&self, announcement: &server::Announcement, err: &server::Error) {
+        if let Some(suppressed) = self.announcement_lines.admit(self.clock.now()) {
+            let id: String = announcement.id.chars().take(LOGGED_ID_MAX_CHARS).collect();
+            slog::warn!(self.log, "announcement rejected"; "server" => id, "error" => %err,
+                "suppressed" => suppressed);
+        }
+    }
+
     fn record_announcement(&self, id: &str) {
         let now = self.clock.now();
         let mut soft = self.soft_state();
--- /dev/null
+++ b/crates/coordinator/tests/group/mod.rs
@@ -0,0 +1,160 @@
+//! Coordinators of one group in one process, with fake disks.
+
+#![allow(dead_code)] // Each test file uses only some of the helpers.
+
+use nutmegdale_base::clock;
+use nutmegdale_consensus::status;
+use nutmegdale_coordinator::{operations, service};
+use nutmegdale_registry::{config, follow, state};
+use nutmegdale_storage::fake;
+use nutmegdale_telemetry::{clock as telemetry_clock, log};
+use nutmegdale_testkit::{addresses, cluster};
+use std::net;
+use std::path;
+use std::sync;
+use std::time;
+use tokio::sync::watch;
+
+/// Time for an election and for other work that no test measures.
+const WAIT: time::Duration = time::Duration::from_secs(20);
+
+/// Codec of documents that consist of the decimal digits of their version.
+struct VersionCodec;
+
+impl config::Codec for VersionCodec {
+    fn decode(&self, document: &[u8]) -> Result<config::Config, config::Error> {
+        let text = String::from_utf8_lossy(document);
+        let version = text.parse();
+        Ok(config::Config {
+            version: version.map_err(|_| config::Error::Unreadable(text.into_owned()))?,
+            routes: Vec::new(),
+            services: Vec::new(),
+            listeners: config::Listeners {
+                head_max_bytes: 16_384,
+                body_max_bytes: 100_000,
+                header_timeout: clock::Millis(3_000),
+                idle_timeout: clock::Millis(15_000),
+            },
+        })
+    }
+}
+
+/// Coordinator of the group.
+pub(crate) struct Member {
+    pub(crate) operations: sync::Arc<operations::Operations>,
+    pub(crate) disk: fake::FakeDisk,
+}
+
+impl Member {
+    fn role(&self) -> status::Role {
+        self.operations.status().role
+    }
+
+    /// Syncs as an entry process that holds the registry up to `index`.
+    pub(crate) async fn sync(&self, index: u64) -> follow::SyncReply {
+        let entry = follow::Entry {
+            name: "entry".to_owned(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            zone: "zone".to_owned(),
+            region: "region".to_owned(),
+        };
+        let req = follow::SyncRequest {
+            entry,
+            is_ready: false,
+            index,
+            entries_digest: follow::entries_digest(&[]),
+            hold: clock::Millis(100),
+        };
+        self.operations.sync(req).await
+    }
+
+    /// Returns the index of the registry once the member is current with `version`.
+    pub(crate) async fn current_index(&self, version: u64) -> u64 {
+        cluster::eventually(WAIT, &format!("version {version}"), || async {
+            let reply = self.sync(0).await;
+            let has_version = self.operations.version() == version;
+            (reply.is_current && has_version).then_some(reply.index)
+        })
+        .await
+    }
+}
+
+/// Coordinators that run until the value is dropped.
+pub(crate) struct Group {
+    pub(crate) members: Vec<Member>,
+    _addresses: addresses::Addresses,
+    _stop: watch::Sender<bool>,
+}
+
+impl Group {
+    /// Starts `count` coordinators and gives them version 1.
+    pub(crate) async fn start(count: usize) -> Group {
+        let mut addresses = addresses::Addresses::reserve();
+        let listen: Vec<_> = (0..count).map(|_| addresses.next_address()).collect();
+        let (stop, stopped) = watch::channel(false);
+        let members = listen.iter().map(|own| start(*own, &listen, &stopped));
+        let group = Group {
+            members: members.collect(),
+            _addresses: addresses,
+            _stop: stop,
+        };
+        group.configure(0, 1).await;
+        for member in &group.members {
+            member.current_index(1).await;
+        }
+        group
+    }
+
+    /// Returns the position of a member that leads or does not lead.
+    pub(crate) fn find(&self, is_leader: bool) -> usize {
+        let is_match = |m: &Member| (m.role() == status::Role::Leader) == is_leader;
+        let position = self.members.iter().position(is_match);
+        position.expect("a group has a leader and followers")
+    }
+
+    /// Replaces the version `base`, through any member, until the change is acknowledged.
+    pub(crate) async fn configure(&self, base: u64, version: u64) {
+        let document = version.to_string();
+        cluster::eventually(WAIT, &format!("version {version} accepted"), || async {
+            for member in &self.members {
+                let changed = member.operations.configure(base, document.as_bytes());
+                if changed.await == Ok(state::Reply::Done) {
+                    return Some(());
+                }
+            }
+            None
+        })
+        .await;
+    }
+}
+
+fn start(
+    own: net::SocketAddr,
+    listen: &[net::SocketAddr],
+    stopped: &watch::Receiver<bool>,
+) -> Member {
+    let disk = fake::FakeDisk::new();
+    let settings = service::Settings {
+        listen: own,
+        public: own,
+        zone: own.ip().to_string(),
+        data: path::PathBuf::new(),
+        first_members: listen.to_vec(),
+        is_first_start: true,
+        target_voters_count: listen.len(),
+        cluster_token: "token".to_owned(),
+    };
+    let dependencies = service::Dependencies {
+        codec: sync::Arc::new(VersionCodec),
+        data: Box::new(disk.clone()),
+        clock: sync::Arc::new(telemetry_clock::SystemClock::start()),
+        log: log::discard(),
+    };
+    // The sender may go: the addresses do not change.
+    let seeds = watch::channel(listen.to_vec()).1;
+    let coordinator = service::Coordinator::start(settings, seeds, dependencies);
+    let coordinator = coordinator.expect("a coordinator starts");
+    let operations = sync::Arc::clone(&coordinator.operations);
+    tokio::spawn(coordinator.run(stopped.clone()));
+    Member { operations, disk }
+}
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -1,5 +1,6 @@
 //! Announcements of backend servers and their order.
 
+use displaydoc::Display;
 use nutmegdale_base::clock;
 use serde::{Deserialize, Serialize};
 use std::net;
@@ -39,6 +40,74 @@
     pub cold_left: clock::Millis,
 }
 
+/// Maximum length of the identifier of a server and of the name of its service, in bytes.
+const NAME_MAX_BYTES: usize = 256;
+/// Maximum number of requests that a server handles concurrently.
+const SLOTS_MAX_COUNT: u32 = 100_000;
+/// Latest start time of a server, the year 2200: later ones are in another unit than milliseconds.
+const BORN_MAX_MS: u64 = 7_258_118_400_000;
+/// Largest sequence number: the largest integer that all writers of JSON represent exactly.
+const SEQUENCE_MAX: u64 = 1 << 53;
+/// Longest time for which a server is cold.
+const COLD_MAX_MS: clock::Millis = clock::Millis::from_secs(3_600);
+
+/// Reason why an announcement cannot come from a working server.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum Error {
+    /// {field} must have 1 to 256 bytes, not {bytes}
+    InvalidName {
+        /// Field that holds the name.
+        field: &'static str,
+        /// Length of the name.
+        bytes: usize,
+    },
+    /// no server can be reached at {0}
+    InvalidAddress(net::SocketAddr),
+    /// slots must be between 1 and 100000, not {0}
+    InvalidSlots(u32),
+    /// the start time {0} is later than the year 2200
+    InvalidBorn(u64),
+    /// the sequence number {0} is out of range
+    InvalidSequence(u64),
+    /// a server is not cold for {0}
+    InvalidColdTime(clock::Millis),
+}
+
+impl std::error::Error for Error {}
+
+/// Checks that an announcement may come from a working server. An implausible one must not enter
+/// the registry, where a start time or a sequence number out of range would win over everything
+/// that the server says later.
+///
+/// # Errors
+///
+/// Returns the first violation.
+pub fn check(announcement: &Announcement) -> Result<(), Error> {
+    for (field, name) in [("id", &announcement.id), ("service", &announcement.service)] {
+        let bytes = name.len();
+        if bytes == 0 || bytes > NAME_MAX_BYTES {
+            return Err(Error::InvalidName { field, bytes });
+        }
+    }
+    let ip = announcement.address.ip();
+    if announcement.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+        return Err(Error::InvalidAddress(announcement.address));
+    }
+    if announcement.slots == 0 || announcement.slots > SLOTS_MAX_COUNT {
+        return Err(Error::InvalidSlots(announcement.slots));
+    }
+    if announcement.born > BORN_MAX_MS {
+        return Err(Error::InvalidBorn(announcement.born));
+    }
+    if announcement.sequence > SEQUENCE_MAX {
+        return Err(Error::InvalidSequence(announcement.sequence));
+    }
+    if announcement.cold_left > COLD_MAX_MS {
+        return Err(Error::InvalidColdTime(announcement.cold_left));
+    }
+    Ok(())
+}
+
 /// Backend server in the registry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
