--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -22,7 +22,7 @@
 
     /// Returns the span of `secs` seconds.
     pub const fn from_secs(secs: u64) -> Millis {
-        Millis(secs * 1000)
+        Millis(secs.saturating_mul(1000))
     }
 
     /// Returns the span since `earlier`, or zero if `earlier` is later.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -137,7 +137,7 @@
 
     /// Returns the free slots that the server is predicted to have with this request added.
     pub fn room(&self) -> estimate::Room {
-        match (self.in_flight + 1).cmp(&self.slots) {
+        match self.in_flight.saturating_add(1).cmp(&self.slots) {
             cmp::Ordering::Less => estimate::Room::Free,
             cmp::Ordering::Equal => estimate::Room::Last,
             cmp::Ordering::Greater => estimate::Room::None,
@@ -148,7 +148,7 @@
     /// `n / factor` with all `n` slots occupied, and to `n - 1` with one slot free.
     pub fn would_reduce_throughput(&self, profile: &RequestProfile) -> bool {
         let slots = f64::from(self.slots.max(1));
-        let occupied = f64::from(self.in_flight + 1);
+        let occupied = f64::from(self.in_flight) + 1.0;
         occupied >= slots && slots > 1.0 && slots / profile.saturation_factor < slots - 1.0
     }
 }
@@ -194,7 +194,7 @@
             let slowdown = reported * freshness + SLOWDOWN_UNKNOWN_PERCENT * (1.0 - freshness);
             // Other processes' requests may have ended since; an outdated report counts half.
             let others = f64::from(report.others) * (0.5 + freshness / 2.0);
-            (own_count + others.round() as u32, slowdown)
+            (own_count.saturating_add(others.round() as u32), slowdown)
         }
         None => (own_count, SLOWDOWN_UNKNOWN_PERCENT),
     };
@@ -204,7 +204,7 @@
     let still_running = slots * candidate.signal.full_likelihood(now, drain_ms);
     let full_likelihood = candidate.signal.full_likelihood(now, REJECTION_HORIZON_MS);
     let in_flight = in_flight.max(still_running.ceil() as u32);
-    let occupied = f64::from(in_flight + 1);
+    let occupied = f64::from(in_flight) + 1.0;
     let has_room = occupied / slots <= ROOM_MAX_SHARE;
     let mut service_ms = profile.service_time_ms * slowdown / 100.0;
     if !has_room {
--- a/crates/dispatch/src/signal.rs
+++ b/crates/dispatch/src/signal.rs
@@ -112,7 +112,10 @@
 
     /// Records a load report; `own` of the requests that it counts are this process's.
     pub fn record_report(&self, now: clock::Millis, report: Report, own: u32) {
-        let others = (report.running + report.waiting).saturating_sub(own);
+        let others = report
+            .running
+            .saturating_add(report.waiting)
+            .saturating_sub(own);
         let clip = |value: u32| u64::from(value).min(FIELD_MASK);
         let packed = PRESENT | clip(others) << FIELD_BITS | clip(report.slowdown_percent);
         self.report.store(packed, atomic::Ordering::Relaxed);
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -505,3 +505,36 @@
         is_preferred: true,
     }
 }
+
+/// Guards against a load report with counts whose sum exceeds the range of a number: it would end
+/// the process, or make a server with endless work look idle.
+#[test]
+fn implausible_load_report_is_no_idle_server() {
+    let signal = signal::Signal::default();
+    let now = clock::Millis(1_000);
+    let report = signal::Report {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 4,
+        slowdown_percent: u32::MAX,
+    };
+    signal.record_report(now, report, 1);
+    let health = health::Health::default();
+    let candidate = placement::Candidate {
+        signal: &signal,
+        health: &health,
+        slots: u32::MAX,
+        distance: placement::Distance::Zone,
+        is_cold: false,
+        is_preferred: true,
+    };
+    let profile = placement::RequestProfile {
+        service_time_ms: 90.0,
+        transfer_kb: 1.0,
+        saturation_factor: 1.2,
+        target_ms: 250.0,
+    };
+    let busy = placement::predict(now, &candidate, profile, &LINKS);
+    assert!(busy.in_flight > 1_000, "{busy:?}");
+    assert!(busy.response_ms.is_finite(), "{busy:?}");
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -203,7 +203,7 @@
         idle_timeout: Option<clock::Millis>,
     ) {
         if let Some(timeout) = idle_timeout {
-            let used = timeout.0 * IDLE_USED_PERCENT / 100;
+            let used = timeout.0 / 100 * IDLE_USED_PERCENT;
             self.idle_timeout_ms.store(used, atomic::Ordering::Relaxed);
         }
         if connection.generation != self.generation.load(atomic::Ordering::Relaxed)
