--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -82,7 +82,7 @@
         let metrics = &self.operations.metrics;
         metrics
             .is_leader
-            .set(i64::from(status.role == status::Role::Leader));
+            .set(i64::from(self.own_info(status).leads.is_some()));
         let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         metrics.applied.set(gauge(status.applied.0));
         let commit = status.commit.max(self.known_commit());
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -55,22 +55,22 @@
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Error {
     /// {field} must have 1 to 256 bytes, not {bytes}
-    InvalidName {
+    Name {
         /// Field that holds the name.
         field: &'static str,
         /// Length of the name.
         bytes: usize,
     },
     /// no server can be reached at {0}
-    InvalidAddress(net::SocketAddr),
+    Address(net::SocketAddr),
     /// slots must be between 1 and 100000, not {0}
-    InvalidSlots(u32),
+    Slots(u32),
     /// the start time {0} is later than the year 2200
-    InvalidBorn(u64),
+    Born(u64),
     /// the sequence number {0} is out of range
-    InvalidSequence(u64),
+    Sequence(u64),
     /// a server is not cold for {0}
-    InvalidColdTime(clock::Millis),
+    ColdTime(clock::Millis),
 }
 
 impl std::error::Error for Error {}
@@ -86,24 +86,24 @@
     for (field, name) in [("id", &announcement.id), ("service", &announcement.service)] {
         let bytes = name.len();
         if bytes == 0 || bytes > NAME_MAX_BYTES {
-            return Err(Error::InvalidName { field, bytes });
+            return Err(Error::Name { field, bytes });
         }
     }
     let ip = announcement.address.ip();
     if announcement.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
-        return Err(Error::InvalidAddress(announcement.address));
+        return Err(Error::Address(announcement.address));
     }
     if announcement.slots == 0 || announcement.slots > SLOTS_MAX_COUNT {
-        return Err(Error::InvalidSlots(announcement.slots));
+        return Err(Error::Slots(announcement.slots));
     }
     if announcement.born > BORN_MAX_MS {
-        return Err(Error::InvalidBorn(announcement.born));
+        return Err(Error::Born(announcement.born));
     }
     if announcement.sequence > SEQUENCE_MAX {
-        return Err(Error::InvalidSequence(announcement.sequence));
+        return Err(Error::Sequence(announcement.sequence));
     }
     if announcement.cold_left > COLD_MAX_MS {
-        return Err(Error::InvalidColdTime(announcement.cold_left));
+        return Err(Error::ColdTime(announcement.cold_left));
     }
     Ok(())
 }
