--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -15,6 +15,9 @@
 pub(crate) const READ: &str = "registry-read";
 /// Name of the call that carries gossip between coordinators.
 pub(crate) const GOSSIP: &str = "gossip";
+/// Name of the same call with the evidence of the leader in the reply, which older builds cannot
+/// decode.
+pub(crate) const GOSSIP_CONFIRMED: &str = "gossip-confirmed";
 
 /// Encoded [`state::Command`], forwarded to the leader.
 #[serde_with::serde_as]
@@ -65,14 +68,24 @@
         let operations = sync::Arc::clone(&self.operations);
         let rounds = sync::Arc::clone(&self.rounds);
         match name {
-            follow::SYNC => Some(Box::pin(async move {
-                let req: follow::SyncRequest = server::decode(&body)?;
-                server::encode_compact(&operations.sync(req).await)
-            })),
-            GOSSIP => Some(Box::pin(async move {
-                let message: gossip::Message = server::decode(&body)?;
-                server::encode_compact(&rounds.receive_gossip(message))
-            })),
+            follow::SYNC | follow::SYNC_CONFIRMED => {
+                let has_evidence = name == follow::SYNC_CONFIRMED;
+                Some(Box::pin(async move {
+                    let req: follow::SyncRequest = server::decode(&body)?;
+                    let mut reply = operations.sync(req).await;
+                    reply.confirmation_age = reply.confirmation_age.filter(|_| has_evidence);
+                    server::encode_compact(&reply)
+                }))
+            }
+            GOSSIP | GOSSIP_CONFIRMED => {
+                let has_evidence = name == GOSSIP_CONFIRMED;
+                Some(Box::pin(async move {
+                    let message: gossip::Message = server::decode(&body)?;
+                    let mut reply = rounds.receive_gossip(message);
+                    reply.committed = reply.committed.filter(|_| has_evidence);
+                    server::encode_compact(&reply)
+                }))
+            }
             COMMAND => Some(Box::pin(async move {
                 let cmd: Command = server::decode(&body)?;
                 server::encode_compact(&Answer::from_result(
--- a/crates/coordinator/src/confirmation.rs
+++ b/crates/coordinator/src/confirmation.rs
@@ -6,6 +6,7 @@
 //! had committed at a known time; the copy is that recent once it has applied this log. See
 //! [docs/replication.md](../../../docs/replication.md).
 
+use crate::gossip;
 use nutmegdale_base::clock;
 use nutmegdale_consensus::{status, types};
 use std::collections;
@@ -50,19 +51,14 @@
         })
     }
 
-    /// Returns the proof in a leader's reply to a question sent at `sent_at`. `quorum_age` is how
-    /// long before its reply the leader started the last round that a quorum answered.
+    /// Returns the proof in a leader's reply to a question sent at `sent_at`.
     ///
     /// The leader replied after the question was sent, so the time of the question is a safe lower
     /// bound however long the reply was on its way.
-    pub fn of_reply(
-        sent_at: clock::Millis,
-        quorum_age: clock::Millis,
-        commit: types::Index,
-    ) -> Proof {
+    pub fn of_reply(sent_at: clock::Millis, committed: &gossip::Committed) -> Proof {
         Proof {
-            as_of: clock::Millis(sent_at.since(quorum_age).0),
-            commit,
+            as_of: clock::Millis(sent_at.since(committed.quorum_age).0),
+            commit: committed.index,
         }
     }
 }
--- a/crates/coordinator/src/gossip.rs
+++ b/crates/coordinator/src/gossip.rs
@@ -37,6 +37,9 @@
     pub ready: Option<Vec<entries::EntryStatus>>,
     /// Whether the next message has to list the entry processes of its sender.
     pub wants_entries: bool,
+    /// What the sender has committed, if it leads and a quorum has confirmed it in its term.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub committed: Option<Committed>,
 }
 
 /// State of a coordinator, as it reports it to the others.
@@ -65,10 +68,15 @@
     pub commit: types::Index,
     /// Identities of the voters and learners.
     pub members: Vec<types::ReplicaId>,
-    /// Time since the leader started the newest round that a quorum answered; `None` before the
-    /// first entry of its term is committed.
-    #[serde(default)]
-    pub quorum_age: Option<clock::Millis>,
+}
+
+/// Statement of a leader about the committed log, as of its reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Committed {
+    /// Last committed index.
+    pub index: types::Index,
+    /// Time since the leader started the newest round that a quorum answered.
+    pub quorum_age: clock::Millis,
 }
 
 impl Group {
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -134,7 +134,6 @@
                 term: status.term,
                 commit: status.commit,
                 members: status.members.members.iter().map(|m| m.id).collect(),
-                quorum_age,
             }),
         }
     }
@@ -208,7 +207,13 @@
     ) {
         let client = &self.operations.client;
         let sent_at = self.operations.clock.now();
-        let call = client.call_compact(target, calls::GOSSIP, &message, GOSSIP_TIMEOUT_MS);
+        let call = client.call_compact_or(
+            target,
+            calls::GOSSIP_CONFIRMED,
+            calls::GOSSIP,
+            &message,
+            GOSSIP_TIMEOUT_MS,
+        );
         let reply: error::Result<gossip::Reply> = call.await;
         let now = self.operations.clock.now();
         let mut soft = self.operations.soft_state();
@@ -224,11 +229,11 @@
         for peer in reply.peers.into_iter().flatten() {
             soft.peers.update_indirect(now, peer);
         }
-        if let Some(group) = &reply.sender.leads {
-            if let Some(quorum_age) = group.quorum_age {
-                let proof = confirmation::Proof::of_reply(sent_at, quorum_age, group.commit);
-                soft.confirmation.record(proof);
-            }
+        if let Some(committed) = &reply.committed {
+            let proof = confirmation::Proof::of_reply(sent_at, committed);
+            soft.confirmation.record(proof);
+        }
+        if reply.sender.leads.is_some() {
             match &reply.ready {
                 Some(ready) => soft.entries.replace_indirect(now, ready),
                 None => soft.entries.refresh_indirect(now),
@@ -262,9 +267,21 @@
             peers,
             ready: ready_differs.then(|| soft.entries.ready_statuses(now)),
             wants_entries,
+            committed: self.committed(),
         }
     }
 
+    /// Returns what this replica has committed, if it leads and a quorum has confirmed it in its
+    /// term.
+    fn committed(&self) -> Option<gossip::Committed> {
+        let status = self.operations.handle.status();
+        let confirmed_at = status.quorum_contact_at?;
+        Some(gossip::Committed {
+            index: status.commit,
+            quorum_age: self.operations.clock.now().since(confirmed_at),
+        })
+    }
+
     async fn repair(
         &self,
         repair: &mut repair::Repair,
--- a/crates/coordinator/tests/confirmation.rs
+++ b/crates/coordinator/tests/confirmation.rs
@@ -2,7 +2,7 @@
 
 use nutmegdale_base::clock;
 use nutmegdale_consensus::types;
-use nutmegdale_coordinator::confirmation;
+use nutmegdale_coordinator::{confirmation, gossip};
 
 fn proof(as_of: u64, commit: u64) -> confirmation::Proof {
     confirmation::Proof {
@@ -35,8 +35,11 @@
 /// not answered for long, and counts as new when it arrives.
 #[test]
 fn reply_is_as_old_as_its_question_and_its_quorum() {
-    let (sent_at, quorum_age) = (clock::Millis(5_000), clock::Millis(700));
-    let proof = confirmation::Proof::of_reply(sent_at, quorum_age, types::Index(3));
+    let committed = gossip::Committed {
+        index: types::Index(3),
+        quorum_age: clock::Millis(700),
+    };
+    let proof = confirmation::Proof::of_reply(clock::Millis(5_000), &committed);
     assert_eq!(proof.as_of, clock::Millis(4_300));
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -138,8 +138,9 @@
             hold: HOLD_MS,
         };
         let sent_at = self.shared.clock.now();
-        let call = self.shared.client.call_compact(
+        let call = self.shared.client.call_compact_or(
             target,
+            follow::SYNC_CONFIRMED,
             follow::SYNC,
             &req,
             HOLD_MS + RESPONSE_TIMEOUT_MS,
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -10,6 +10,9 @@
 
 /// Name of the call by which a follower fetches changes from a coordinator.
 pub const SYNC: &str = "registry-sync";
+/// Name of the same call with the age of the coordinator's evidence in the reply, which older builds
+/// cannot decode.
+pub const SYNC_CONFIRMED: &str = "registry-sync-confirmed";
 
 /// Identity and location of an entry process.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -66,7 +69,7 @@
     pub coordinators: Vec<Coordinator>,
     /// How long before the reply every change accepted until then was in the coordinator's
     /// registry; `None` without evidence.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub confirmation_age: Option<clock::Millis>,
 }
 
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -19,6 +19,8 @@
 /// SYN only after a second. Giving up earlier lets the caller retry as soon as the peer is up
 /// again.
 const CONNECT_MS: clock::Millis = clock::Millis(300);
+/// Status by which a peer refuses a call that it does not know.
+const UNKNOWN_CALL: u16 = 404;
 /// Maximum number of idle connections kept per peer.
 const IDLE_MAX_COUNT: usize = 4;
 
@@ -57,8 +59,8 @@
 
     /// Like [`Client::call`], but encodes the body without field names. It is meant for lists of
     /// servers and processes, which make up most of the traffic between processes. It only works
-    /// for types that always serialize all their fields; a field that is added later must come last
-    /// and have a default.
+    /// for types that always serialize all their fields; a field that is added later must come last,
+    /// have a default, and be left out in messages to older builds, which cannot decode it.
     ///
     /// # Errors
     ///
@@ -75,6 +77,28 @@
         self.call_encoded(peer, name, body, timeout).await
     }
 
+    /// Like [`Client::call_compact`], but calls `older` at a peer of an older build, which does not
+    /// know `name`. Both calls take the same body.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`Client::call`].
+    pub async fn call_compact_or<Q: Serialize + Sync, A: de::DeserializeOwned>(
+        &self,
+        peer: net::SocketAddr,
+        name: &str,
+        older: &str,
+        body: &Q,
+        timeout: clock::Millis,
+    ) -> error::Result<A> {
+        match self.call_compact(peer, name, body, timeout).await {
+            Err(error::Error::Refused(status, _)) if status == UNKNOWN_CALL => {
+                self.call_compact(peer, older, body, timeout).await
+            }
+            reply => reply,
+        }
+    }
+
     async fn call_encoded<A: de::DeserializeOwned>(
         &self,
         peer: net::SocketAddr,
