--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod repair;
 mod rounds;
 pub mod service;
+mod sync;
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -106,14 +106,17 @@
     fn log_confirmation(&self, was_confirmed: bool, status: &status::Status) -> bool {
         let age = self.operations.confirmation_age();
         let is_confirmed = confirmation::is_recent(age);
-        if is_confirmed != was_confirmed {
-            let event = match is_confirmed {
-                true => "registry confirmed",
-                false => "registry not confirmed",
-            };
-            slog::info!(self.operations.log, "{}", event; "age_ms" => age.map(|age| age.0),
-                "applied" => status.applied.0, "commit" => self.known_commit().0,
-                "role" => ?status.role, "term" => status.term.0);
+        if is_confirmed == was_confirmed {
+            return is_confirmed;
+        }
+        let evidence = slog::o!("age_ms" => age.map(|age| age.0), "applied" => status.applied.0,
+            "commit" => self.known_commit().0, "role" => format!("{:?}", status.role),
+            "term" => status.term.0);
+        let log = self.operations.log.new(evidence);
+        if is_confirmed {
+            slog::info!(log, "registry confirmed");
+        } else {
+            slog::info!(log, "registry not confirmed");
         }
         is_confirmed
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 //! server states that it did not run it; a response is forwarded only if it belongs to this request
 //! and, up to the buffering limit, only once it is complete.
 
-use crate::{backend, call, dialect, metrics, payload, pool, state};
+use crate::{backend, call, in_flight, metrics, payload, pool, state};
 use bytes::Bytes;
 use hyper::{body, header};
 use nutmegdale_base::{clock, outcome};
@@ -19,10 +19,6 @@
 /// Maximum idle time of a connection for a request that must not be sent twice. A health check or a
 /// response has just shown that the connection works.
 const FRESH_IDLE_MS: clock::Millis = clock::Millis(300);
-/// Time beyond twice the predicted response time after which a missing response counts as a
-/// failure of the server.
-const SILENCE_SLACK_MS: clock::Millis = clock::Millis(150);
-
 /// Time for the body of a refusal, which arrives with its head. Waiting longer would delay the next
 /// attempt to save a connection.
 const REFUSAL_BODY_MS: clock::Millis = clock::Millis(50);
@@ -87,123 +83,9 @@
     Unknown(outcome::Reason),
 }
 
-/// Guard that counts a request as in flight at a server until it is dropped. If the attempt was
-/// abandoned, the drop records how long the server had not responded.
-#[derive(Debug)]
-struct InFlight {
-    shared: SharedState,
-    backend: sync::Arc<backend::Backend>,
-    started: clock::Millis,
-    silence_timeout: clock::Millis,
-    /// Response time that the server's load reports predict, in milliseconds.
-    uncorrected_ms: f64,
-    is_written: bool,
-    /// Whether the result is known, so that the drop records nothing.
-    is_settled: bool,
-}
-
-/// Wrapper that implements `Debug`, since the state holds trait objects.
-struct SharedState(sync::Arc<state::Shared>);
-
-impl std::fmt::Debug for SharedState {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Shared")
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.backend.signal.end();
-        let elapsed = self.shared.0.clock.now().since(self.started);
-        // The elapsed time of an abandoned attempt is a lower bound of its response time.
-        if self.is_written && !self.is_settled && elapsed.0 as f64 > self.uncorrected_ms {
-            self.record_response_time(elapsed);
-        }
-        if self.is_written && !self.is_settled && elapsed > self.silence_timeout {
-            let failure = health::Failure::Silence;
-            self.shared
-                .0
-                .record_failure(&self.backend, failure, "request");
-            self.backend.pool.invalidate();
-        }
-    }
-}
-
-impl InFlight {
-    fn begin(shared: &sync::Arc<state::Shared>, attempt: &Attempt) -> InFlight {
-        let silence_timeout =
-            clock::Millis((attempt.prediction.response_ms * 2.0) as u64) + SILENCE_SLACK_MS;
-        attempt.backend.signal.begin();
-        InFlight {
-            shared: SharedState(sync::Arc::clone(shared)),
-            backend: sync::Arc::clone(&attempt.backend),
-            started: shared.clock.now(),
-            silence_timeout,
-            uncorrected_ms: attempt.prediction.uncorrected_ms,
-            is_written: false,
-            is_settled: false,
-        }
-    }
-
-    fn now(&self) -> clock::Millis {
-        self.shared.0.clock.now()
-    }
-
-    fn record_response_time(&self, elapsed: clock::Millis) {
-        let signal = &self.backend.signal;
-        signal.record_response_time(self.now(), elapsed.0 as f64, self.uncorrected_ms);
-    }
-
-    fn record_failure(&mut self, failure: health::Failure) {
-        self.is_settled = true;
-        self.shared
-            .0
-            .record_failure(&self.backend, failure, "request");
-    }
-
-    /// Records that the server rejected the request. This counts as a failure only if the server
-    /// reports free slots.
-    fn record_refusal(&mut self, report: Option<signal::Report>) {
-        self.is_settled = true;
-        match report {
-            Some(report) if report.running < report.slots => {
-                self.record_failure(health::Failure::Answer);
-            }
-            Some(_) => {}
-            None => self.backend.signal.record_full(self.now()),
-        }
-    }
-
-    /// Records a complete response of the server.
-    fn record_response(&mut self, status: hyper::StatusCode) {
-        self.is_settled = true;
-        if status.is_server_error() {
-            self.record_failure(health::Failure::Answer);
-            return;
-        }
-        self.backend.health.record_success();
-        self.record_response_time(self.now().since(self.started));
-    }
-
-    fn record_load(&self, metadata: &dialect::Response<'_>) {
-        if let Some(report) = metadata.report {
-            let own_in_flight = self.backend.signal.in_flight();
-            self.backend
-                .signal
-                .record_report(self.now(), report, own_in_flight);
-        }
-        if let Some(left) = metadata
-            .cold_left
-            .filter(|left| *left > clock::Millis::ZERO)
-        {
-            self.backend.extend_cold_until(self.now() + left);
-        }
-    }
-}
-
 /// Sends a request and waits for the response until the deadline.
 pub async fn run(shared: &sync::Arc<state::Shared>, attempt: Attempt) -> AttemptResult {
-    let mut in_flight = InFlight::begin(shared, &attempt);
+    let mut in_flight = in_flight::InFlight::begin(shared, &attempt);
     let idle_max = match attempt.is_one_time {
         true => FRESH_IDLE_MS,
         false => clock::Millis::MAX,
@@ -244,7 +126,7 @@
 
 async fn round_trip(
     shared: &sync::Arc<state::Shared>,
-    in_flight: &mut InFlight,
+    in_flight: &mut in_flight::InFlight,
     mut connection: pool::Connection,
     attempt: Attempt,
     time_left: clock::Millis,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! outcome. `exchange` makes its attempts, including retries and hedges; `hedge_timer` decides when
 //! a hedge is due. [`picker`] applies the decisions of `nutmegdale-dispatch` to pick a server after
 //! the health checks of [`probe`]. Only [`attempt`] writes requests to servers, over connections
-//! from [`pool`]. [`directory`] selects the addresses to which callers connect. Header names of a
+//! from [`pool`]; `in_flight` records what each attempt tells of its server. [`directory`] selects the addresses to which callers connect. Header names of a
 //! front end are known only to its [`dialect::Dialect`]. See
 //! [docs/platform.md](../../../docs/platform.md).
 
@@ -18,6 +18,7 @@
 mod exchange;
 pub mod follow;
 mod hedge_timer;
+mod in_flight;
 pub mod metrics;
 pub mod payload;
 pub mod picker;
