--- /dev/null
+++ b/crates/gateway/tests/follow.rs
@@ -0,0 +1,169 @@
+//! Tests of how an entry process chooses the coordinator that it follows.
+
+use bytes::Bytes;
+use nutmegdale_base::clock;
+use nutmegdale_gateway::{service, state};
+use nutmegdale_registry::{document, feed, follow};
+use nutmegdale_rpc::{listen, server};
+use nutmegdale_telemetry::{clock as telemetry_clock, log};
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+mod stub;
+
+/// Coordinator whose registry holds one configuration.
+#[derive(Debug)]
+struct Coordinator {
+    address: net::SocketAddr,
+    zone: &'static str,
+    version: atomic::AtomicU64,
+    is_current: atomic::AtomicBool,
+}
+
+impl Coordinator {
+    fn version(&self) -> u64 {
+        self.version.load(atomic::Ordering::Relaxed)
+    }
+
+    async fn sync(&self, req: follow::SyncRequest, all: Vec<follow::Coordinator>) -> server::Reply {
+        let is_current = || self.is_current.load(atomic::Ordering::Relaxed);
+        let held_since = time::Instant::now();
+        let hold = time::Duration::from_millis(req.hold.0);
+        while is_current() && self.version() <= req.index && held_since.elapsed() < hold {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        let version = self.version();
+        let change = feed::Change::Configuration {
+            version,
+            document: document::Document::pack(b"{}"),
+        };
+        server::encode_compact(&follow::SyncReply {
+            is_current: is_current(),
+            index: version,
+            is_whole: false,
+            changes: if version > req.index {
+                vec![change]
+            } else {
+                Vec::new()
+            },
+            entries: None,
+            coordinators: all,
+            confirmation_age: is_current().then_some(clock::Millis(100)),
+        })
+    }
+}
+
+struct Handler {
+    own: sync::Arc<Coordinator>,
+    all: Vec<follow::Coordinator>,
+}
+
+impl server::Handler for Handler {
+    fn call(&self, name: &str, body: Bytes) -> Option<server::ReplyFuture> {
+        if name != follow::SYNC_CONFIRMED {
+            return None;
+        }
+        let (own, all) = (sync::Arc::clone(&self.own), self.all.clone());
+        Some(Box::pin(async move {
+            let req: follow::SyncRequest = server::decode(&body)?;
+            own.sync(req, all).await
+        }))
+    }
+}
+
+/// Starts coordinators with version 1, one in each of the zones.
+async fn start(
+    zones: &[&'static str],
+    stopped: &watch::Receiver<bool>,
+) -> Vec<sync::Arc<Coordinator>> {
+    let mut listeners = Vec::new();
+    let mut coordinators = Vec::new();
+    for zone in zones {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        coordinators.push(sync::Arc::new(Coordinator {
+            address: listener.local_addr().expect("an address"),
+            zone,
+            version: atomic::AtomicU64::new(1),
+            is_current: atomic::AtomicBool::new(true),
+        }));
+        listeners.push(listener);
+    }
+    let all = coordinators.iter().map(|c| follow::Coordinator {
+        address: c.address,
+        zone: c.zone.to_owned(),
+    });
+    let all: Vec<_> = all.collect();
+    for (listener, own) in listeners.into_iter().zip(&coordinators) {
+        let handler = Handler {
+            own: sync::Arc::clone(own),
+            all: all.clone(),
+        };
+        let service = server::CallService::new("token", sync::Arc::new(handler));
+        let (service, stopped) = (sync::Arc::new(service), stopped.clone());
+        let bounds = listen::Bounds::default();
+        let drain = clock::Millis(100);
+        tokio::spawn(listen::serve(listener, service, bounds, stopped, drain));
+    }
+    coordinators
+}
+
+/// Returns an address at which nothing listens.
+async fn free_address() -> net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// Waits until the entry process routes by `version`; returns how long that took.
+async fn wait_version(shared: &state::Shared, version: u64) -> time::Duration {
+    let start = time::Instant::now();
+    while shared.table.load().config_version != version {
+        let elapsed = start.elapsed();
+        assert!(
+            elapsed < time::Duration::from_secs(10),
+            "no version {version}"
+        );
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    start.elapsed()
+}
+
+/// Guards against an entry process that stays with the coordinator of its own zone although this
+/// coordinator says that it may have missed changes.
+#[tokio::test]
+async fn entry_process_leaves_a_coordinator_that_is_not_current() {
+    let (_stop, stopped) = watch::channel(false);
+    let coordinators = start(&["zone", "far"], &stopped).await;
+    let seeds = coordinators.iter().map(|c| c.address).collect();
+    let (_seeds, seeds) = watch::channel(seeds);
+    let dependencies = state::Dependencies {
+        clock: sync::Arc::new(telemetry_clock::SystemClock::start()),
+        dialect: sync::Arc::new(stub::TestDialect),
+        codec: sync::Arc::new(stub::FixedCodec),
+        log: log::discard(),
+        seed: 1,
+    };
+    let mut settings = stub::settings();
+    settings.entry.address = free_address().await;
+    let gateway = service::Gateway::new(settings, seeds, dependencies, stopped.clone());
+    let shared = sync::Arc::clone(&gateway.shared);
+    let running = tokio::spawn(gateway.run());
+    wait_version(&shared, 1).await;
+
+    let [own, far] = &coordinators[..] else {
+        panic!("two coordinators, not {}", coordinators.len());
+    };
+    own.is_current.store(false, atomic::Ordering::Relaxed);
+    far.version.store(2, atomic::Ordering::Relaxed);
+    let elapsed = wait_version(&shared, 2).await;
+    assert!(elapsed < time::Duration::from_millis(1_000), "{elapsed:?}");
+    let confirmation = shared.metrics_text();
+    assert!(
+        confirmation.contains("nutmegdale_registry_confirmation_age_ms"),
+        "{confirmation}"
+    );
+    running.abort();
+}
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -31,7 +31,7 @@
 }
 
 /// Header names and formats of the tests.
-struct TestDialect;
+pub(crate) struct TestDialect;
 
 impl dialect::Dialect for TestDialect {
     fn parse_request<'a>(&self, headers: &'a header::HeaderMap) -> dialect::Request<'a> {
@@ -78,6 +78,15 @@
     }
 }
 
+/// Codec that decodes every document to the same configuration.
+pub(crate) struct FixedCodec;
+
+impl config::Codec for FixedCodec {
+    fn decode(&self, _document: &[u8]) -> Result<config::Config, config::Error> {
+        Ok(config(class::Class::UrgentLookup))
+    }
+}
+
 /// Gateway with its stub servers.
 pub(crate) struct Harness {
     address: net::SocketAddr,
@@ -289,7 +298,7 @@
     copy
 }
 
-fn settings() -> settings::Settings {
+pub(crate) fn settings() -> settings::Settings {
     settings::Settings {
         entry: follow::Entry {
             name: "entry".to_owned(),
