--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 //! server states that it did not run it; a response is forwarded only if it belongs to this request
 //! and, up to the buffering limit, only once it is complete.
 
-use crate::{backend, call, in_flight, metrics, payload, pool, state};
+use crate::{backend, call, in_flight, interim, metrics, payload, pool, state};
 use bytes::Bytes;
 use hyper::{body, header};
 use nutmegdale_base::{clock, outcome};
@@ -133,8 +133,17 @@
 ) -> AttemptResult {
     let req = request_head(shared, &attempt, time_left);
     let request_id = attempt.request_id;
-    let req = req.map(|()| attempt.payload.into_body());
-    let response = match connection.sender.try_send_request(req).await {
+    let mut req = req.map(|()| attempt.payload.into_body());
+    let interim = interim::Limit::watch(&mut req);
+    let response = tokio::select! {
+        biased;
+        response = connection.sender.try_send_request(req) => response,
+        () = interim.exceeded() => {
+            in_flight.record_failure(health::Failure::Answer);
+            return AttemptResult::Unknown(outcome::Reason::BrokenAnswer);
+        }
+    };
+    let response = match response {
         Ok(response) => response,
         Err(mut err) => {
             if err.take_message().is_some() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod follow;
 mod hedge_timer;
 mod in_flight;
+mod interim;
 pub mod metrics;
 pub mod payload;
 pub mod picker;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -1,6 +1,6 @@
 //! Health checks right before a server is picked, since load reports are stale within milliseconds.
 
-use crate::{backend, metrics, pool, state};
+use crate::{backend, interim, metrics, pool, state};
 use http_body_util::BodyExt;
 use hyper::header;
 use nutmegdale_admission::bucket;
@@ -119,7 +119,7 @@
 ) -> Result<(), ProbeError> {
     let own_in_flight = backend.signal.in_flight();
     let host = backend.announcement.address.to_string();
-    let req = hyper::Request::get(path)
+    let mut req = hyper::Request::get(path)
         .header(header::HOST, host)
         .body(listen::full(""))
         .map_err(|_| ProbeError::Failed(health::Failure::Answer))?;
@@ -127,8 +127,12 @@
         true => ProbeError::Closed,
         false => ProbeError::Unserved,
     };
-    let response = connection.sender.send_request(req).await;
-    let response = response.map_err(|_| err)?;
+    let interim = interim::Limit::watch(&mut req);
+    let response = tokio::select! {
+        biased;
+        response = connection.sender.send_request(req) => response.map_err(|_| err)?,
+        () = interim.exceeded() => return Err(ProbeError::Failed(health::Failure::Answer)),
+    };
     let (head, body) = response.into_parts();
     let collected = http_body_util::Limited::new(body, BODY_MAX_BYTES)
         .collect()
--- a/crates/gateway/tests/misbehaving_servers.rs
+++ b/crates/gateway/tests/misbehaving_servers.rs
@@ -189,11 +189,20 @@
     check_endless(move |_, req| health_or(req, endless(head, "x: y\r\n"))).await;
 }
 
-/// Guards against interim responses that are read without a limit.
+/// Guards against interim responses that are read until the timeout, which keeps the processor busy
+/// and delays everything else that the process does.
 #[tokio::test]
-async fn endless_interim_responses_are_cut_off() {
+async fn endless_interim_responses_are_cut_off_at_once() {
     let interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    let start = time::Instant::now();
     check_endless(move |_, req| health_or(req, endless("", interim))).await;
+    let elapsed = start.elapsed() - 2 * SLACK;
+    assert!(elapsed < TIMEOUT / 2, "{elapsed:?}");
+    let respond = move |_: usize, req: &str| match is_health_check(req) {
+        true => endless("", interim),
+        false => Output::Bytes(ok(&format!("signed: 1\r\nid: {}\r\n", id_of(req)))),
+    };
+    check_endless(respond).await;
 }
 
 /// Guards against an invalid response whose body is read without a limit.
