gateway, coordinator: shorter steps of an attempt; the newest committed index in the log

The function that writes a request and reads its response had grown to 90 lines: what is kept of a request once it is written is a type with one method a step. No decision changes.

--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -85,8 +85,7 @@
             .set(i64::from(self.own_info(status).leads.is_some()));
         let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         metrics.applied.set(gauge(status.applied.0));
-        let commit = status.commit.max(self.known_commit());
-        metrics.commit.set(gauge(commit.0));
+        metrics.commit.set(gauge(self.known_commit(status).0));
         let age = self.operations.confirmation_age();
         metrics
             .confirmation_age_ms
@@ -97,8 +96,10 @@
         metrics.entries.set(entries as i64);
     }
 
-    fn known_commit(&self) -> types::Index {
-        self.operations.soft_state().confirmation.known_commit()
+    /// Returns the newest index that is known to be committed, from this replica or from a leader.
+    fn known_commit(&self, status: &status::Status) -> types::Index {
+        let soft = self.operations.soft_state();
+        soft.confirmation.known_commit().max(status.commit)
     }
 
     /// Logs when the evidence that the registry is complete becomes too old, and when it is recent
@@ -110,7 +111,7 @@
             return is_confirmed;
         }
         let evidence = slog::o!("age_ms" => age.map(|age| age.0), "applied" => status.applied.0,
-            "commit" => self.known_commit().0, "role" => format!("{:?}", status.role),
+            "commit" => self.known_commit(status).0, "role" => format!("{:?}", status.role),
             "term" => status.term.0);
         let log = self.operations.log.new(evidence);
         if is_confirmed {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -124,6 +124,7 @@
     time::Duration::from_millis(time_left.0)
 }
 
+/// Writes the request and reads the response.
 async fn round_trip(
     shared: &sync::Arc<state::Shared>,
     in_flight: &mut in_flight::InFlight,
@@ -132,94 +133,129 @@
     time_left: clock::Millis,
 ) -> AttemptResult {
     let req = request_head(shared, &attempt, time_left);
-    let request_id = attempt.request_id;
+    let sent = SentRequest {
+        backend: attempt.backend,
+        request_id: attempt.request_id,
+        end: attempt.deadline + call::DEADLINE_MARGIN_MS,
+        room: attempt.prediction.room(),
+    };
     let mut req = req.map(|()| attempt.payload.into_body());
     let interim = interim::Limit::watch(&mut req);
     let response = tokio::select! {
         biased;
         response = connection.sender.try_send_request(req) => response,
-        () = interim.exceeded() => {
-            in_flight.record_failure(health::Failure::Answer);
-            return AttemptResult::Unknown(outcome::Reason::BrokenAnswer);
-        }
+        () = interim.exceeded() => return broken(in_flight, health::Failure::Answer),
     };
-    let response = match response {
-        Ok(response) => response,
-        Err(mut err) => {
-            if err.take_message().is_some() {
-                in_flight.is_settled = true;
-                return AttemptResult::NotRun(outcome::Reason::Connect, false);
-            }
-            let failure = match connection.is_reused {
-                // The server may just have closed an idle connection.
-                true => health::Failure::Silence,
-                false => health::Failure::Answer,
-            };
-            in_flight.record_failure(failure);
-            return AttemptResult::Unknown(outcome::Reason::BrokenAnswer);
-        }
-    };
-    let (head, incoming) = response.into_parts();
-    let metadata = shared.dialect.parse_response(head.status, &head.headers);
-    // Servers repeat the identifier of a request in its response. On a reused connection a response
-    // without it may be one that an earlier request or health check got, sent once more.
-    let is_own = match metadata.request_id {
-        Some(id) => id == &*request_id,
-        None => !connection.is_reused || request_id.is_empty(),
+    let mut err = match response {
+        Ok(response) => return sent.receive(shared, in_flight, connection, response).await,
+        Err(err) => err,
     };
-    if !is_own {
-        // It is unknown whether this request ran.
-        in_flight.record_failure(health::Failure::Answer);
-        return AttemptResult::Unknown(outcome::Reason::BrokenAnswer);
-    }
-    in_flight.record_load(&metadata);
-    if metadata.is_misdirected {
-        in_flight.record_failure(health::Failure::Replaced);
-        return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
+    if err.take_message().is_some() {
+        in_flight.is_settled = true;
+        return AttemptResult::NotRun(outcome::Reason::Connect, false);
     }
-    let is_not_run = metadata.is_not_run;
-    if is_not_run {
-        in_flight.record_refusal(metadata.report);
-        if is_short(incoming).await {
-            state::checkin(&attempt.backend, in_flight.now(), connection, &head.headers);
+    let failure = match connection.is_reused {
+        // The server may just have closed an idle connection.
+        true => health::Failure::Silence,
+        false => health::Failure::Answer,
+    };
+    broken(in_flight, failure)
+}
+
+/// Records a failure after which it is unknown whether the request ran.
+fn broken(in_flight: &mut in_flight::InFlight, failure: health::Failure) -> AttemptResult {
+    in_flight.record_failure(failure);
+    AttemptResult::Unknown(outcome::Reason::BrokenAnswer)
+}
+
+/// What an attempt keeps of its request once the request is written.
+struct SentRequest {
+    backend: sync::Arc<backend::Backend>,
+    request_id: sync::Arc<str>,
+    /// Time at which a streamed response fails.
+    end: clock::Millis,
+    room: estimate::Room,
+}
+
+impl SentRequest {
+    /// Returns whether a response belongs to this request.
+    ///
+    /// Servers repeat the identifier of a request in its response. On a reused connection a response
+    /// without it may be one that an earlier request or health check got, sent once more.
+    fn is_own(&self, response_id: Option<&str>, is_reused: bool) -> bool {
+        match response_id {
+            Some(id) => id == &*self.request_id,
+            None => !is_reused || self.request_id.is_empty(),
         }
-        return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
     }
-    let is_valid = !head.status.is_success()
-        || (metadata.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
-    let payload = match payload::Payload::read(incoming).await {
-        Ok(payload) if is_valid => payload,
-        _ => {
-            in_flight.record_failure(health::Failure::Answer);
-            return AttemptResult::Unknown(outcome::Reason::BrokenAnswer);
+
+    /// Checks the head of a response and reads its body.
+    async fn receive(
+        self,
+        shared: &sync::Arc<state::Shared>,
+        in_flight: &mut in_flight::InFlight,
+        connection: pool::Connection,
+        response: hyper::Response<body::Incoming>,
+    ) -> AttemptResult {
+        let (head, incoming) = response.into_parts();
+        let metadata = shared.dialect.parse_response(head.status, &head.headers);
+        if !self.is_own(metadata.request_id, connection.is_reused) {
+            return broken(in_flight, health::Failure::Answer);
         }
-    };
-    in_flight.record_response(head.status);
-    let last = attempt.backend.signal.last_report(in_flight.now());
-    let buffered_bytes = payload.buffered.len() as u64;
-    let body = match payload.rest {
-        None => {
-            state::checkin(&attempt.backend, in_flight.now(), connection, &head.headers);
-            payload.into_body()
+        in_flight.record_load(&metadata);
+        if metadata.is_misdirected {
+            in_flight.record_failure(health::Failure::Replaced);
+            return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
         }
-        Some(_) => {
-            let end = attempt.deadline + call::DEADLINE_MARGIN_MS;
-            listen::Body::new(ConnectionBody {
+        if metadata.is_not_run {
+            in_flight.record_refusal(metadata.report);
+            if is_short(incoming).await {
+                state::checkin(&self.backend, in_flight.now(), connection, &head.headers);
+            }
+            return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
+        }
+        let is_valid = !head.status.is_success()
+            || (metadata.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
+        match payload::Payload::read(incoming).await {
+            Ok(payload) if is_valid => self.answer(in_flight, connection, head, payload),
+            _ => broken(in_flight, health::Failure::Answer),
+        }
+    }
+
+    /// Returns the response, whose body keeps its connection if it is still being read.
+    fn answer(
+        self,
+        in_flight: &mut in_flight::InFlight,
+        connection: pool::Connection,
+        head: hyper::http::response::Parts,
+        payload: payload::Payload,
+    ) -> AttemptResult {
+        in_flight.record_response(head.status);
+        let now = in_flight.now();
+        let last = self.backend.signal.last_report(now);
+        let buffered_bytes = payload.buffered.len() as u64;
+        let body = match payload.rest {
+            None => {
+                state::checkin(&self.backend, now, connection, &head.headers);
+                payload.into_body()
+            }
+            Some(_) => listen::Body::new(ConnectionBody {
                 body: payload.into_body(),
-                timeout: Box::pin(tokio::time::sleep(duration(end.since(in_flight.now())))),
+                timeout: Box::pin(tokio::time::sleep(duration(self.end.since(now)))),
                 _connection: connection,
-            })
-        }
-    };
-    AttemptResult::Answered(Response {
-        status: head.status,
-        headers: head.headers,
-        body,
-        buffered_bytes,
-        room: attempt.prediction.room(),
-        elapsed: in_flight.now().since(in_flight.started),
-        slowdown_percent: last.map_or(signal::NO_SLOWDOWN_PERCENT, |aged| aged.slowdown_percent),
-    })
+            }),
+        };
+        AttemptResult::Answered(Response {
+            status: head.status,
+            headers: head.headers,
+            body,
+            buffered_bytes,
+            room: self.room,
+            elapsed: now.since(in_flight.started),
+            slowdown_percent: last
+                .map_or(signal::NO_SLOWDOWN_PERCENT, |aged| aged.slowdown_percent),
+        })
+    }
 }
 
 /// Reads the body of a refusal, whose head says all there is to know; returns whether it ended soon,
