--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -59,3 +59,17 @@
 fn full_server_without_load_reports_in_seed_2018() {
     assert_guarantees_hold(2018);
 }
+
+/// Guards against callers that are refused although other servers are idle: the servers of the zone
+/// report no load and are full, and requests go on to them until the retry budget is used up.
+#[test]
+fn full_servers_without_load_reports_in_seed_5008() {
+    assert_guarantees_hold(5008);
+}
+
+/// Guards against a route that goes on refusing after a time of slow responses, since its trial
+/// requests are used up by a server that has crashed and refuses connections.
+#[test]
+fn trial_requests_reach_a_working_server_in_seed_5043() {
+    assert_guarantees_hold(5043);
+}
