--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -83,6 +83,11 @@
         tokens.count -= 1.0;
         true
     }
+
+    /// Returns the token of a retry or hedge that was not sent.
+    pub fn refund(&self) {
+        self.tokens().count += 1.0;
+    }
 }
 
 impl Tokens {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -151,7 +151,7 @@
         Err(err) => err,
     };
     if err.take_message().is_some() {
-        in_flight.is_settled = true;
+        in_flight.record_unserved(connection.is_reused);
         return AttemptResult::NotRun(outcome::Reason::Connect, false);
     }
     let failure = match connection.is_reused {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,7 +8,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use nutmegdale_base::{class, clock, outcome};
-use nutmegdale_dispatch::{admission, hedge, placement};
+use nutmegdale_dispatch::{admission, budget, hedge, placement};
 use nutmegdale_entry::head;
 use std::pin;
 use std::sync;
@@ -58,6 +58,10 @@
     hedge_tries_count: u32,
     /// Estimated time that the caller spent on earlier tries before it sent this request.
     waited_before: clock::Millis,
+    /// Whether an attempt was admitted as a trial.
+    is_trial: bool,
+    /// Retry budget of each token that was withdrawn: one for each written attempt but the first.
+    withdrawn: Vec<sync::Arc<budget::Budget>>,
 }
 
 /// Service of the next attempt, in the current table.
@@ -126,6 +130,8 @@
             is_hedged: false,
             hedge_tries_count: 0,
             waited_before: request.waited_before,
+            is_trial: false,
+            withdrawn: Vec::new(),
         }
     }
 
@@ -249,6 +255,7 @@
             home_regions: &self.route.spec.home_regions,
             tried: &self.tried,
             time_left: self.time_left(call),
+            is_trial: self.is_trial,
         };
         picker::pick(call.shared, &target.table, &query).await
     }
@@ -320,7 +327,7 @@
 
     /// Withdraws one retry or hedge from the budget; returns whether that was possible.
     fn withdraw_budget(
-        &self,
+        &mut self,
         shared: &state::Shared,
         table: &table::Table,
         service_index: usize,
@@ -328,8 +335,9 @@
         let bound = &shared.settings.bounds.retry_budget;
         let budget = &table.services[service_index].budget;
         let is_allowed = budget.withdraw(shared.clock.now(), bound, table.processes_count());
-        if !is_allowed {
-            metrics::increment(&shared.metrics.over_budget);
+        match is_allowed {
+            true => self.withdrawn.push(sync::Arc::clone(budget)),
+            false => metrics::increment(&shared.metrics.over_budget),
         }
         is_allowed
     }
@@ -365,6 +373,7 @@
             return;
         };
         if picked.is_trial {
+            self.is_trial = true;
             call.trace.push_event(call.elapsed(), "trial");
         }
         call.trace
@@ -411,7 +420,7 @@
             attempt::AttemptResult::NotRun(reason, was_written) => {
                 call.trace.push_event(call.elapsed(), reason.name());
                 if !was_written {
-                    self.attempts_count -= 1;
+                    self.on_unwritten();
                 }
                 // About half of the requests that run on the server will have ended by then.
                 let retry_after =
@@ -430,6 +439,14 @@
         }
     }
 
+    /// Takes back an attempt that reached no server, and the token that it cost.
+    fn on_unwritten(&mut self) {
+        self.attempts_count -= 1;
+        if let Some(budget) = self.withdrawn.pop() {
+            budget.refund();
+        }
+    }
+
     fn retry_or_wait(&self, is_last: bool) -> Step {
         let is_allowed =
             self.attempts_count < self.route.spec.attempts_max && self.payload.is_some();
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -96,6 +96,15 @@
         }
     }
 
+    /// Records that the server closed the connection before the request was written. It closes new
+    /// connections when it is full.
+    pub(crate) fn record_unserved(&mut self, is_reused: bool) {
+        self.is_settled = true;
+        if !is_reused {
+            self.backend.signal.record_full(self.now());
+        }
+    }
+
     /// Records a complete response of the server.
     pub(crate) fn record_response(&mut self, status: hyper::StatusCode) {
         self.is_settled = true;
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -32,6 +32,9 @@
     pub tried: &'a [sync::Arc<backend::Backend>],
     /// Time until its latency target and its deadline.
     pub time_left: admission::TimeLeft,
+    /// Whether an earlier attempt of the request was admitted as a trial. Its retries are trials
+    /// too, since an attempt that reached no server has refreshed no estimate.
+    pub is_trial: bool,
 }
 
 /// Server that was picked.
@@ -157,7 +160,7 @@
     let estimate = query.estimate;
     let mut is_trial = false;
     if let Some((_, best)) = ranking.best.first() {
-        let may_be_stale = estimate.may_be_stale(now);
+        let may_be_stale = query.is_trial || estimate.may_be_stale(now);
         match admission::decide(best, query.profile, query.time_left, may_be_stale, &mut rng) {
             admission::Decision::Admit => estimate.record_admission(),
             admission::Decision::Trial => {
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -8,8 +8,8 @@
 use hyper::header;
 use hyper_util::rt;
 use nutmegdale_base::{class, clock};
-use nutmegdale_dispatch::{budget, cold};
-use nutmegdale_gateway::{dialect, proxy, settings, state, table};
+use nutmegdale_dispatch::{budget, cold, estimate, health};
+use nutmegdale_gateway::{dialect, pool, proxy, settings, state, table};
 use nutmegdale_registry::{config, follow, server as registry};
 use nutmegdale_rpc::listen;
 use nutmegdale_telemetry::{clock as telemetry_clock, log};
@@ -20,7 +20,7 @@
 use tokio::sync::watch;
 
 #[allow(unused_imports)] // Each test file uses only some of them.
-pub(crate) use server::{Behaviour, HEALTH_ID};
+pub(crate) use server::{Behaviour, HEALTH_ID, RequestLog, crashed_server, start as start_server};
 
 /// Response that a caller received.
 #[derive(Debug)]
@@ -121,14 +121,24 @@
             let address = server::start(*behaviour, sync::Arc::clone(&log)).await;
             servers.push((address, zone));
         }
-        Harness::start_gateway(class, &servers, log).await
+        Harness::start_gateway(class, &servers, log, RETRY_BUDGET).await
     }
 
     /// Starts a configured gateway with servers that the test runs itself.
     pub(crate) async fn start_with(class: class::Class, servers: &[net::SocketAddr]) -> Harness {
         let servers: Vec<_> = servers.iter().map(|address| (*address, "zone")).collect();
+        Harness::start_in_zones(class, &servers, RETRY_BUDGET).await
+    }
+
+    /// Starts a configured gateway with servers that the test runs itself, given by address and
+    /// zone, and a retry budget.
+    pub(crate) async fn start_in_zones(
+        class: class::Class,
+        servers: &[(net::SocketAddr, &str)],
+        retry_budget: budget::Bound,
+    ) -> Harness {
         let log = server::RequestLog::default();
-        let harness = Harness::start_gateway(class, &servers, log).await;
+        let harness = Harness::start_gateway(class, servers, log, retry_budget).await;
         harness.configure();
         harness
     }
@@ -137,9 +147,12 @@
         class: class::Class,
         servers: &[(net::SocketAddr, &str)],
         log: server::RequestLog,
+        retry_budget: budget::Bound,
     ) -> Harness {
         let copy = registry_of(servers);
-        let settings = sync::Arc::new(settings());
+        let mut settings = settings();
+        settings.bounds.retry_budget = retry_budget;
+        let settings = sync::Arc::new(settings);
         let mut builder = table::Builder::new(sync::Arc::clone(&settings));
         let empty = builder.build(clock::Millis::ZERO, &follow::LocalCopy::default(), None);
         let dependencies = state::Dependencies {
@@ -199,6 +212,39 @@
         self.publish(&copy);
     }
 
+    /// Limits the gateway to one connection to a server and takes it.
+    pub(crate) async fn take_only_connection(&self, server_id: &str) -> pool::Connection {
+        let table = self.shared.table.load_full();
+        let mut backends = table.backends();
+        let backend = backends.find(|backend| backend.id() == server_id);
+        let pool = &backend.expect("a known server").pool;
+        pool.set_open_max(1);
+        let connection = pool.checkout(clock::Millis(1), clock::Millis::MAX).await;
+        connection.expect("a connection")
+    }
+
+    /// Ejects every server, so that none is preferred to the others for its health.
+    pub(crate) fn eject_all(&self) {
+        let table = self.shared.table.load();
+        for backend in table.backends() {
+            let now = self.shared.clock.now();
+            backend
+                .health
+                .record_failure(now, health::Failure::Replaced);
+        }
+    }
+
+    /// Makes the gateway expect responses to take `took`, as after a time of slow responses.
+    pub(crate) fn expect_service_time(&self, took: clock::Millis) {
+        const RESPONSES_COUNT: u32 = 50;
+        let table = self.shared.table.load();
+        let route = table.route("host", "/path/x").expect("a route");
+        for _ in 0..RESPONSES_COUNT {
+            let room = estimate::Room::Free;
+            route.estimate.record_response(took, 100, 100, room);
+        }
+    }
+
     fn publish(&self, copy: &follow::LocalCopy) {
         let mut builder = self.builder.lock().expect("no test panicked");
         let table = builder.build(clock::Millis(1), copy, Some(&self.config));
@@ -270,6 +316,13 @@
     }
 }
 
+/// Retry budget that the tests do not use up.
+pub(crate) const RETRY_BUDGET: budget::Bound = budget::Bound {
+    ratio: 1.0,
+    slack: 100.0,
+    window: clock::Millis(1_000),
+};
+
 /// Returns a registry that contains the servers, given by address and zone.
 fn registry_of(servers: &[(net::SocketAddr, &str)]) -> follow::LocalCopy {
     let mut copy = follow::LocalCopy {
@@ -306,15 +359,11 @@
             zone: "zone".to_owned(),
             region: "region".to_owned(),
         },
-        regions: [("zone", "region"), ("far", "elsewhere")]
+        regions: [("zone", "region"), ("next", "region"), ("far", "elsewhere")]
             .map(|(zone, region)| (zone.to_owned(), region.to_owned()))
             .into(),
         bounds: settings::Bounds {
-            retry_budget: budget::Bound {
-                ratio: 1.0,
-                slack: 100.0,
-                window: clock::Millis(1_000),
-            },
+            retry_budget: RETRY_BUDGET,
             cold_rate: cold::Bound {
                 overshoot: 1.5,
                 slack: 5.0,
--- a/crates/gateway/tests/stub/server.rs
+++ b/crates/gateway/tests/stub/server.rs
@@ -71,6 +71,12 @@
     address
 }
 
+/// Returns an address at which nothing listens.
+pub(crate) async fn crashed_server() -> net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
 /// Records on drop that the request was cancelled.
 struct CancelGuard {
     id: String,
