gateway: obey what a server says about its availability

Change: dispatch::availability holds both as decisions apart from I/O; each response of a server (success, failure, refusal, health check, streamed head) is recorded before it is passed on; candidates, health checks and the check right before each send ask for it. Leaving is remembered by incarnation apart from the registry's copy and the runtime state of a server, so that an expired and repeated announcement does not bring it back. A delay is bounded to 10 minutes; values that are no positive number say nothing. If every server of a service is in a backoff, requests are refused at once, with a time to return that is spread after the end of the first backoff. One log line and one counter for each change of belief; nutmegctl explain shows them.

Not done: telling other VMs what one VM learned this way.

--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -79,6 +79,8 @@
     Limit = "limit",
     /// Every usable backend server is full.
     Overload = "overload",
+    /// Every usable backend server asked for no requests for a while.
+    Backoff = "backoff",
     /// No usable backend server is announced.
     NoServer = "no-server",
     /// No connection to a backend server could be made.
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -20,7 +20,7 @@
 /// Message of the log line of a request.
 const REQUEST_MESSAGE: &str = "request decided";
 /// Messages about state changes of a process.
-const PROCESS_MESSAGES: [&str; 8] = [
+const PROCESS_MESSAGES: [&str; 10] = [
     "registry taken up",
     "coordinator followed",
     "coordinator lost",
@@ -29,6 +29,8 @@
     "gateway stops",
     "settings reloaded",
     "configuration cannot be decoded",
+    "server is leaving",
+    "server asked for a backoff",
 ];
 
 /// Parsed log line.
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -73,14 +73,33 @@
     }
 }
 
+/// Returns the retry delay for a caller that is refused because every server asked for a backoff,
+/// the first of which ends in `backoff_left`.
+///
+/// Up to 50% jitter is added, since the servers would be full again if all refused callers returned
+/// together. The delay is at most a third of the time left until the caller's deadline.
+pub fn retry_after_backoff(
+    backoff_left: clock::Millis,
+    left: clock::Millis,
+    rng: &mut dyn rng::Rng,
+) -> clock::Millis {
+    let wait_ms = (backoff_left.0 as f64).max(RETRY_AFTER_MIN_MS);
+    spread(wait_ms, left, rng)
+}
+
+/// Adds jitter to a retry delay and limits it to a third of the time left.
+fn spread(wait_ms: f64, left: clock::Millis, rng: &mut dyn rng::Rng) -> clock::Millis {
+    let jitter = 1.0 + rng.below(500) as f64 / 1_000.0;
+    let max_ms = (left.0 as f64 / 3.0).max(1.0);
+    clock::Millis((wait_ms * jitter).min(max_ms) as u64)
+}
+
 /// Returns the retry delay for a refused caller, given the milliseconds until the best server is
 /// free and the time left until the caller's deadline.
 ///
 /// Up to 50% jitter is added, so that callers refused together do not retry together. The delay is
 /// at most a third of the time left.
 pub fn retry_after(free_ms: f64, left: clock::Millis, rng: &mut dyn rng::Rng) -> clock::Millis {
-    let jitter = 1.0 + rng.below(500) as f64 / 1_000.0;
-    let wait = free_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS) * jitter;
-    let max = (left.0 as f64 / 3.0).max(1.0);
-    clock::Millis(wait.min(max) as u64)
+    let wait_ms = free_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+    spread(wait_ms, left, rng)
 }
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -85,6 +85,7 @@
         | Reason::ZoneOut
         | Reason::ShuttingDown
         | Reason::Overload
+        | Reason::Backoff
         | Reason::NoServer
         | Reason::Connect
         | Reason::ServerRefused
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -107,7 +107,7 @@
     if time_left == clock::Millis::ZERO {
         return AttemptResult::NotRun(outcome::Reason::Deadline, false);
     }
-    if !attempt.backend.is_open() {
+    if !attempt.backend.accepts(in_flight.now()) {
         return AttemptResult::NotRun(outcome::Reason::NoServer, false);
     }
     in_flight.is_written = true;
@@ -204,11 +204,13 @@
         }
         in_flight.record_load(&metadata);
         if metadata.is_misdirected {
+            // Another server holds the address, so nothing else in the response is about this one.
             in_flight.record_failure(health::Failure::Replaced);
             return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
         }
+        shared.record_availability(&self.backend, &metadata);
         if metadata.is_not_run {
-            in_flight.record_refusal(metadata.report);
+            in_flight.record_refusal(&metadata);
             if is_short(incoming).await {
                 state::checkin(&self.backend, in_flight.now(), connection, &head.headers);
             }
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -2,8 +2,9 @@
 
 use crate::pool;
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{cold, health, placement, signal};
+use nutmegdale_dispatch::{availability, cold, health, placement, signal};
 use nutmegdale_registry::server;
+use std::sync;
 use std::sync::atomic;
 
 /// Allows one health check of a server at a time, so that concurrent requests share its result.
@@ -59,6 +60,10 @@
     pub signal: signal::Signal,
     /// Failure statistics for outlier ejection.
     pub health: health::Health,
+    /// What the server says about its availability.
+    pub availability: availability::Availability,
+    /// Servers that are leaving, which outlives this state.
+    leaving: sync::Arc<availability::LeavingServers>,
     /// Rate limiter while the server is cold.
     pub pacer: cold::Pacer,
     /// Connection pool.
@@ -74,13 +79,21 @@
 }
 
 impl Backend {
-    /// Creates the state of an incarnation that does not accept requests yet.
+    /// Creates the state of an incarnation that does not accept requests yet. It never will if it
+    /// is in `leaving`.
     pub fn new(
         announcement: server::Announcement,
         region: String,
         distance: placement::Distance,
+        leaving: sync::Arc<availability::LeavingServers>,
     ) -> Backend {
+        let availability = availability::Availability::default();
+        if leaving.contains(&announcement.id, announcement.born) {
+            availability.mark_leaving();
+        }
         Backend {
+            availability,
+            leaving,
             pool: pool::Pool::new(announcement.address),
             announcement,
             region,
@@ -107,10 +120,26 @@
         self.is_open.swap(is_open, atomic::Ordering::AcqRel) != is_open
     }
 
-    /// Returns whether the server accepts requests. Each attempt checks this again right before it
-    /// writes the request.
+    /// Returns whether the registry and the server itself allow requests, except for a backoff.
     pub fn is_open(&self) -> bool {
-        self.is_open.load(atomic::Ordering::Acquire)
+        self.is_open.load(atomic::Ordering::Acquire) && !self.availability.is_leaving()
+    }
+
+    /// Returns whether the server accepts requests now. Each attempt and each health check tests
+    /// this again right before it writes its request.
+    pub fn accepts(&self, now: clock::Millis) -> bool {
+        self.is_open() && self.availability.backoff_left(now) == clock::Millis::ZERO
+    }
+
+    /// Records that the server is leaving; returns whether that is news.
+    pub fn mark_leaving(&self) -> bool {
+        let is_news = self.availability.mark_leaving();
+        if is_news {
+            let server = &self.announcement;
+            self.leaving.insert(&server.id, server.born);
+            self.pool.invalidate();
+        }
+        is_news
     }
 
     /// Sets whether this process is among those that may send to the server while it is cold.
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -143,6 +143,29 @@
             "suppressed" => suppressed);
     }
 
+    /// Writes the line of a server whose response stated that it is leaving, unless the rate limit
+    /// suppresses it.
+    pub fn write_leaving(&self, now: clock::Millis, backend: &backend::Backend) {
+        if let Some(suppressed) = self.abnormal.admit(now) {
+            slog::info!(self.log, "server is leaving";
+                "server" => backend.id(),
+                "service" => &backend.announcement.service,
+                "born" => backend.announcement.born,
+                "suppressed" => suppressed);
+        }
+    }
+
+    /// Writes the line of a server that asked for a backoff, unless the rate limit suppresses it.
+    pub fn write_backoff(&self, now: clock::Millis, backend: &backend::Backend) {
+        if let Some(suppressed) = self.abnormal.admit(now) {
+            slog::info!(self.log, "server asked for a backoff";
+                "server" => backend.id(),
+                "service" => &backend.announcement.service,
+                "backoff_ms" => backend.availability.backoff_left(now).0,
+                "suppressed" => suppressed);
+        }
+    }
+
     /// Writes the line of a server that is ejected for `ejected_for`, unless the rate limit
     /// suppresses it.
     pub fn write_ejection(
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -28,6 +28,10 @@
     pub report: Option<signal::Report>,
     /// Remaining warm-up time of the server.
     pub cold_left: Option<clock::Millis>,
+    /// Whether the server states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the server wants no further requests.
+    pub backoff: Option<clock::Millis>,
     /// Identifier of the server.
     pub server_id: Option<&'a str>,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -422,10 +422,7 @@
                 if !was_written {
                     self.on_unwritten();
                 }
-                // About half of the requests that run on the server will have ended by then.
-                let retry_after =
-                    clock::Millis((self.route.estimate.service_time_ms() / 2.0) as u64);
-                self.rejection = Some(picker::Rejection::new(reason, retry_after));
+                self.rejection = Some(picker::Rejection::new(reason, self.retry_after(call)));
                 self.retry_or_wait(is_last)
             }
             attempt::AttemptResult::Unknown(reason) => {
@@ -439,6 +436,24 @@
         }
     }
 
+    /// Returns the time after which the caller of a request that a server refused should retry.
+    fn retry_after(&self, call: &call::Call<'_>) -> clock::Millis {
+        let table = call.shared.table.load();
+        let mut services = table.services.iter();
+        let service = services.find(|service| service.spec.name == self.service_name);
+        let home_regions = &self.route.spec.home_regions;
+        let backoff_left = service.and_then(|service| {
+            picker::backoff_left(service, home_regions, call.shared.clock.now())
+        });
+        match backoff_left {
+            Some(left) => {
+                admission::retry_after_backoff(left, call.time_left(), &mut call.shared.rng())
+            }
+            // About half of the requests that run on the server will have ended by then.
+            None => clock::Millis((self.route.estimate.service_time_ms() / 2.0) as u64),
+        }
+    }
+
     /// Takes back an attempt that reached no server, and the token that it cost.
     fn on_unwritten(&mut self) {
         self.attempts_count -= 1;
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -2,7 +2,7 @@
 
 use crate::{attempt, backend, dialect, state};
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{health, signal};
+use nutmegdale_dispatch::health;
 use std::sync;
 
 /// Time beyond twice the predicted response time after which a missing response counts as a
@@ -84,10 +84,11 @@
     }
 
     /// Records that the server rejected the request. This counts as a failure only if the server
-    /// reports free slots.
-    pub(crate) fn record_refusal(&mut self, report: Option<signal::Report>) {
+    /// reports free slots and gives no time for which it wants no requests.
+    pub(crate) fn record_refusal(&mut self, metadata: &dialect::Response<'_>) {
         self.is_settled = true;
-        match report {
+        match metadata.report {
+            Some(_) if metadata.backoff.is_some() || metadata.is_leaving => {}
             Some(report) if report.running < report.slots => {
                 self.record_failure(health::Failure::Answer);
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,10 @@
     pub probes_unserved: atomic::AtomicU64,
     /// Ejections of a server.
     pub ejections: atomic::AtomicU64,
+    /// Servers whose responses stated that they are leaving.
+    pub servers_leaving: atomic::AtomicU64,
+    /// Backoffs that servers asked for.
+    pub backoffs: atomic::AtomicU64,
     /// Failed registry syncs with a coordinator.
     pub syncs_failed: atomic::AtomicU64,
 }
@@ -75,6 +79,16 @@
                 "Times that a server was taken out of the choice.",
                 &self.ejections,
             ),
+            counter(
+                "nutmegdale_servers_leaving_total",
+                "Servers that stated in a response that they are leaving.",
+                &self.servers_leaving,
+            ),
+            counter(
+                "nutmegdale_server_backoffs_total",
+                "Times that a server asked for no requests for a while.",
+                &self.backoffs,
+            ),
             counter(
                 "nutmegdale_syncs_failed_total",
                 "Syncs with a coordinator that failed.",
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -110,7 +110,7 @@
             break;
         }
     }
-    admit(shared, ranking, query)
+    admit(shared, service, ranking, query)
 }
 
 /// Waits for health checks until a server is good enough, all have completed, or the time is up.
@@ -154,7 +154,12 @@
 
 /// Applies admission control to the best server, then acquires a permit of the best server that
 /// grants one.
-fn admit(shared: &state::Shared, ranking: Ranking, query: &Query<'_>) -> Result<Picked, Rejection> {
+fn admit(
+    shared: &state::Shared,
+    service: &table::Service,
+    ranking: Ranking,
+    query: &Query<'_>,
+) -> Result<Picked, Rejection> {
     let now = shared.clock.now();
     let mut rng = shared.rng();
     let estimate = query.estimate;
@@ -181,7 +186,7 @@
         }
     }
     for (backend, prediction) in ranking.best {
-        if backend.is_open() && backend.try_acquire(now) {
+        if backend.accepts(now) && backend.try_acquire(now) {
             backend.health.begin_trial(now);
             return Ok(Picked {
                 backend,
@@ -190,13 +195,37 @@
             });
         }
     }
-    let retry_after = admission::retry_after(0.0, query.time_left.to_deadline, &mut rng);
+    let left = query.time_left.to_deadline;
+    let rejection = match backoff_left(service, query.home_regions, now) {
+        Some(backoff_left) => Rejection::new(
+            outcome::Reason::Backoff,
+            admission::retry_after_backoff(backoff_left, left, &mut rng),
+        ),
+        None => Rejection::new(
+            outcome::Reason::NoServer,
+            admission::retry_after(0.0, left, &mut rng),
+        ),
+    };
     Err(Rejection {
         considered_count: ranking.considered_count,
-        ..Rejection::new(outcome::Reason::NoServer, retry_after)
+        ..rejection
     })
 }
 
+/// Returns the time until the first server wants requests again, if all servers that a request may
+/// reach have asked for a backoff.
+pub fn backoff_left(
+    service: &table::Service,
+    home_regions: &[String],
+    now: clock::Millis,
+) -> Option<clock::Millis> {
+    let open = service.backends.iter().filter(|backend| {
+        backend.is_open() && (home_regions.is_empty() || home_regions.contains(&backend.region))
+    });
+    let left = open.map(|backend| backend.availability.backoff_left(now));
+    left.min().filter(|left| *left > clock::Millis::ZERO)
+}
+
 /// Ranks the servers that may receive the request. Ejected servers are considered only if no other
 /// is usable.
 fn rank(
@@ -207,7 +236,7 @@
 ) -> Ranking {
     let now = shared.clock.now();
     let is_usable = |backend: &&sync::Arc<backend::Backend>| {
-        backend.is_open()
+        backend.accepts(now)
             && backend.can_acquire(now)
             && (query.home_regions.is_empty() || query.home_regions.contains(&backend.region))
             && !query
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -40,6 +40,8 @@
     Closed,
     /// This process has used up its share of the server's connections.
     NoConnection,
+    /// The server stopped accepting requests while the connection was established.
+    NotAccepted,
 }
 
 /// Spawns a task that runs a health check of a server, or joins the one that is running. Returns
@@ -52,6 +54,9 @@
     path: &str,
 ) -> Option<task::JoinHandle<()>> {
     let now = shared.clock.now();
+    if !backend.accepts(now) {
+        return None;
+    }
     let last = backend.signal.last_report(now);
     let is_fresh = last.is_some_and(|last| last.age <= placement::FRESH_MS);
     let may_probe = !is_fresh && (backend.probe.is_running() || acquire_token(shared, now));
@@ -85,7 +90,7 @@
         // Without a report the server ranks behind those with a known load.
         ProbeError::Unserved => metrics::increment(&shared.metrics.probes_unserved),
         ProbeError::Closed => backend.pool.invalidate(),
-        ProbeError::NoConnection => {}
+        ProbeError::NoConnection | ProbeError::NotAccepted => {}
     }
 }
 
@@ -102,6 +107,9 @@
         pool::Error::Connect => ProbeError::Failed(health::Failure::Connect),
         pool::Error::Full => ProbeError::NoConnection,
     })?;
+    if !backend.accepts(shared.clock.now()) {
+        return Err(ProbeError::NotAccepted);
+    }
     let is_reused = connection.is_reused;
     let timeout = time::Duration::from_millis(TIMEOUT_MS);
     match tokio::time::timeout(timeout, request_report(shared, backend, path, connection)).await {
@@ -155,6 +163,7 @@
     {
         return Err(ProbeError::Failed(health::Failure::Replaced));
     }
+    shared.record_availability(backend, &metadata);
     if let Some(report) = metadata.report {
         backend.signal.record_report(now, report, own_in_flight);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -154,6 +154,28 @@
     }
 }
 
+impl Shared {
+    /// Records what a response of the server says about its availability.
+    pub fn record_availability(
+        &self,
+        backend: &backend::Backend,
+        metadata: &dialect::Response<'_>,
+    ) {
+        let now = self.clock.now();
+        if metadata.is_leaving && backend.mark_leaving() {
+            metrics::increment(&self.metrics.servers_leaving);
+            self.decision_log.write_leaving(now, backend);
+        }
+        let Some(delay) = metadata.backoff else {
+            return;
+        };
+        if backend.availability.back_off(now, delay) {
+            metrics::increment(&self.metrics.backoffs);
+            self.decision_log.write_backoff(now, backend);
+        }
+    }
+}
+
 /// Returns a connection to its pool, unless the response announces that the server closes it.
 pub fn checkin(
     backend: &backend::Backend,
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -2,7 +2,7 @@
 
 use crate::{backend, settings};
 use nutmegdale_base::{clock, digest};
-use nutmegdale_dispatch::{budget, cold, estimate, placement, split};
+use nutmegdale_dispatch::{availability, budget, cold, estimate, placement, split};
 use nutmegdale_registry::{config, follow, server};
 use std::cell;
 use std::collections;
@@ -106,6 +106,7 @@
 pub struct Builder {
     settings: sync::Arc<settings::Settings>,
     backends: collections::HashMap<Incarnation, sync::Arc<backend::Backend>>,
+    leaving: sync::Arc<availability::LeavingServers>,
     budgets: collections::HashMap<String, sync::Arc<budget::Budget>>,
     estimates: collections::HashMap<String, sync::Arc<estimate::Estimate>>,
     splitters: collections::HashMap<String, sync::Arc<split::Splitter>>,
@@ -121,6 +122,7 @@
         Builder {
             settings,
             backends: collections::HashMap::new(),
+            leaving: sync::Arc::default(),
             budgets: collections::HashMap::new(),
             estimates: collections::HashMap::new(),
             splitters: collections::HashMap::new(),
@@ -209,7 +211,8 @@
         } else {
             placement::Distance::CrossRegion
         };
-        backend::Backend::new(announcement.clone(), region, distance)
+        let leaving = sync::Arc::clone(&self.leaving);
+        backend::Backend::new(announcement.clone(), region, distance, leaving)
     }
 
     /// Marks the servers of zones that return to service as cold, since they may have cooled down
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)] // Each test file uses only some of the helpers.
 
+pub(crate) mod raw;
 mod server;
 
 use http_body_util::BodyExt;
@@ -58,8 +59,14 @@
     ) -> dialect::Response<'a> {
         dialect::Response {
             request_id: headers.get("id").and_then(|id| id.to_str().ok()),
-            is_not_run: headers.contains_key("not-run"),
+            is_not_run: headers.contains_key("not-run") || headers.contains_key("misdirected"),
+            is_misdirected: headers.contains_key("misdirected"),
             is_signed: headers.contains_key("signed"),
+            is_leaving: headers.contains_key("leaving"),
+            backoff: headers.get("backoff-ms").and_then(|millis| {
+                let millis = millis.to_str().ok()?.parse().ok()?;
+                Some(clock::Millis(millis))
+            }),
             ..dialect::Response::default()
         }
     }
@@ -245,6 +252,19 @@
         }
     }
 
+    /// Publishes tables in which the registry forgets all servers, and then knows them again as
+    /// incarnations that started at `born`.
+    pub(crate) fn forget_and_announce(&self, born: u64) {
+        let mut copy = self.copy.clone();
+        copy.servers.clear();
+        self.publish(&copy);
+        copy.servers.clone_from(&self.copy.servers);
+        for known in copy.servers.values_mut() {
+            known.announcement.born = born;
+        }
+        self.publish(&copy);
+    }
+
     fn publish(&self, copy: &follow::LocalCopy) {
         let mut builder = self.builder.lock().expect("no test panicked");
         let table = builder.build(clock::Millis(1), copy, Some(&self.config));
