rpc: do not lose several calls in a row to connections that went silent

Change: a call that times out closes all idle connections of its process; a connection that was idle for 2 s is not used again; a small batch between replicas has a timeout of 0.5 s in place of 2 s.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -18,7 +18,12 @@
 /// Concurrent calls to one peer. More than one, so that a large snapshot chunk does not delay the
 /// next heartbeat.
 const CALLS_MAX_COUNT: usize = 2;
-/// Timeout of one call.
+/// Size up to which a batch holds heartbeats, votes and small entries only.
+const SMALL_BATCH_MAX_BYTES: usize = 16 * 1024;
+/// Timeout of a call with a small batch. A connection that went silent delays a replica's messages
+/// by this long; a leader must reach its followers again before they elect another one.
+const SMALL_CALL_TIMEOUT_MS: clock::Millis = clock::Millis(500);
+/// Timeout of any other call, which may carry megabytes over a slow link.
 const CALL_TIMEOUT_MS: clock::Millis = clock::Millis(2_000);
 
 /// Sends the messages of all groups of a process, one queue per peer.
@@ -128,7 +133,7 @@
             let Ok(permit) = sync::Arc::clone(&self.calls).acquire_owned().await else {
                 return;
             };
-            let envelopes = self.collect_batch(first, &mut rx);
+            let (envelopes, timeout) = self.collect_batch(first, &mut rx);
             let batch = message::RaftBatch {
                 sender: self.own_address,
                 envelopes,
@@ -137,14 +142,19 @@
             tokio::spawn(async move {
                 // An error equals the loss of the messages, which their group retransmits.
                 let sent: nutmegdale_rpc::error::Result<()> =
-                    client.call(address, "raft", &batch, CALL_TIMEOUT_MS).await;
+                    client.call(address, "raft", &batch, timeout).await;
                 drop(sent);
                 drop(permit);
             });
         }
     }
 
-    fn collect_batch(&self, first: Vec<u8>, rx: &mut mpsc::Receiver<Vec<u8>>) -> Vec<Vec<u8>> {
+    /// Collects the queued messages up to a size; returns them with the timeout of their call.
+    fn collect_batch(
+        &self,
+        first: Vec<u8>,
+        rx: &mut mpsc::Receiver<Vec<u8>>,
+    ) -> (Vec<Vec<u8>>, clock::Millis) {
         let mut size_bytes = first.len();
         let mut envelopes = vec![first];
         while size_bytes < BATCH_MAX_BYTES
@@ -155,6 +165,10 @@
         }
         let order = sync::atomic::Ordering::Relaxed;
         self.queued_bytes.fetch_sub(size_bytes, order);
-        envelopes
+        let timeout = match size_bytes <= SMALL_BATCH_MAX_BYTES {
+            true => SMALL_CALL_TIMEOUT_MS,
+            false => CALL_TIMEOUT_MS,
+        };
+        (envelopes, timeout)
     }
 }
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -23,12 +23,25 @@
 const UNKNOWN_CALL: u16 = 404;
 /// Maximum number of idle connections kept per peer.
 const IDLE_MAX_COUNT: usize = 4;
+/// Idle time after which a connection is not used again. Connections that carry regular calls are
+/// idle for half a second at most; others may have gone silent, which only a timeout shows.
+const IDLE_MAX: time::Duration = time::Duration::from_secs(2);
 
 /// Client for calls that keeps a small pool of idle connections per peer.
+///
+/// Open connections can go silent without a reset, usually many at the same time. A call that times
+/// out on one of them therefore closes all idle connections, so that the next calls, to whichever
+/// peer, are not lost to the same fault.
 #[derive(Debug)]
 pub struct Client {
     token: String,
-    idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<Sender>>>,
+    idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    since: time::Instant,
 }
 
 impl Client {
@@ -144,9 +157,12 @@
         let call = self.call_untimed(peer, name, body);
         match tokio::time::timeout(timeout, call).await {
             Ok(result) => result,
-            Err(_) => Err(error::Error::NoAnswer(format!(
-                "timed out after {timeout:?}"
-            ))),
+            Err(_) => {
+                self.idle().clear();
+                Err(error::Error::NoAnswer(format!(
+                    "timed out after {timeout:?}"
+                )))
+            }
         }
     }
 
@@ -204,22 +220,25 @@
         Ok(sender)
     }
 
-    fn pop_idle(&self, peer: net::SocketAddr) -> Option<Sender> {
-        let mut idle = self
-            .idle
+    fn idle(&self) -> sync::MutexGuard<'_, collections::HashMap<net::SocketAddr, Vec<Idle>>> {
+        self.idle
             .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        idle.get_mut(&peer)?.pop()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn pop_idle(&self, peer: net::SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle();
+        let connections = idle.get_mut(&peer)?;
+        connections.retain(|connection| connection.since.elapsed() < IDLE_MAX);
+        Some(connections.pop()?.sender)
     }
 
     fn checkin(&self, peer: net::SocketAddr, sender: Sender) {
-        let mut idle = self
-            .idle
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        let senders = idle.entry(peer).or_default();
-        if senders.len() < IDLE_MAX_COUNT {
-            senders.push(sender);
+        let mut idle = self.idle();
+        let connections = idle.entry(peer).or_default();
+        if connections.len() < IDLE_MAX_COUNT {
+            let since = time::Instant::now();
+            connections.push(Idle { sender, since });
         }
     }
 }
