rpc, gateway: count bytes by kind of message, link and direction

Calls between processes are counted by name (calls, bytes of bodies both ways), bytes to and from servers by link (zone, region, cross-region) and kind (request, health check). The coordinator and its replicas share one client, so that a call is counted once. "server announced" names the service and zone of the server.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -96,6 +96,11 @@
         })
     }
 
+    /// Returns the client for calls to other processes, which its owner may share.
+    pub fn client(&self) -> &sync::Arc<client::Client> {
+        &self.client
+    }
+
     fn group(&self, name: &str) -> Option<Group> {
         let groups = self.groups.read();
         let groups = groups.unwrap_or_else(sync::PoisonError::into_inner);
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -94,6 +94,11 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Returns the metrics in the Prometheus text format.
+    pub fn metrics_text(&self) -> Vec<u8> {
+        [self.metrics.text(), self.client.traffic.text()].concat()
+    }
+
     /// Replaces the configuration that has the version `base`.
     ///
     /// # Errors
@@ -195,10 +200,11 @@
         }
         let (id, born) = (announcement.id.clone(), announcement.born);
         let (state, cold_left) = (announcement.state, announcement.cold_left);
+        let (service, zone) = (announcement.service.clone(), announcement.zone.clone());
         let reply = self.propose(&state::Command::Announce(announcement)).await;
         if let Some(suppressed) = self.announcement_lines.admit(self.clock.now()) {
             slog::info!(self.log, "server announced"; "server" => id, "born" => born,
-                "state" => ?state, "cold_left_ms" => cold_left.0, "outcome" => ?reply,
+                "service" => service, "zone" => zone, "state" => ?state, "cold_left_ms" => cold_left.0, "outcome" => ?reply,
                 "suppressed" => suppressed);
         }
         reply.map(drop)
--- a/crates/coordinator/src/service.rs
+++ b/crates/coordinator/src/service.rs
@@ -5,7 +5,7 @@
 use nutmegdale_consensus::config as timing;
 use nutmegdale_control::groups;
 use nutmegdale_registry::config;
-use nutmegdale_rpc::{client, listen, server};
+use nutmegdale_rpc::{listen, server};
 use nutmegdale_settings::model;
 use nutmegdale_storage::disk;
 use nutmegdale_telemetry::limiter;
@@ -115,7 +115,7 @@
         let operations = operations::Operations {
             shared,
             handle,
-            client: sync::Arc::new(client::Client::new(&settings.cluster_token)),
+            client: sync::Arc::clone(host.client()),
             codec,
             clock,
             soft_state: sync::Mutex::default(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 //! server states that it did not run it; a response is forwarded only if it belongs to this request
 //! and, up to the buffering limit, only once it is complete.
 
-use crate::{backend, call, in_flight, interim, metrics, payload, pool, state};
+use crate::{backend, call, in_flight, interim, metrics, payload, pool, server_traffic, state};
 use bytes::Bytes;
 use hyper::{body, header};
 use nutmegdale_base::{clock, outcome};
@@ -133,6 +133,11 @@
     time_left: clock::Millis,
 ) -> AttemptResult {
     let req = request_head(shared, &attempt, time_left);
+    let bytes = request_bytes(shared, &attempt.backend);
+    let buffered_bytes = attempt.payload.buffered.len() as u64;
+    bytes
+        .sent
+        .inc_by(server_traffic::head_bytes(req.headers()) + buffered_bytes);
     let sent = SentRequest {
         backend: attempt.backend,
         request_id: attempt.request_id,
@@ -162,6 +167,15 @@
     broken(in_flight, failure)
 }
 
+/// Returns the counters of the bytes of requests to a server.
+fn request_bytes<'a>(
+    shared: &'a state::Shared,
+    backend: &backend::Backend,
+) -> &'a server_traffic::Bytes {
+    let kind = server_traffic::Kind::Request;
+    shared.server_traffic.bytes(backend.distance, kind)
+}
+
 /// Records a failure after which it is unknown whether the request ran.
 fn broken(in_flight: &mut in_flight::InFlight, failure: health::Failure) -> AttemptResult {
     in_flight.record_failure(failure);
@@ -198,6 +212,10 @@
         response: hyper::Response<body::Incoming>,
     ) -> AttemptResult {
         let (head, incoming) = response.into_parts();
+        let length = body::Body::size_hint(&incoming).lower();
+        request_bytes(shared, &self.backend)
+            .received
+            .inc_by(server_traffic::head_bytes(&head.headers) + length);
         let metadata = shared.dialect.parse_response(head.status, &head.headers);
         if !self.is_own(metadata.request_id, connection.is_reused) {
             return broken(in_flight, health::Failure::Answer);
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -1,6 +1,6 @@
 //! Health checks right before a server is picked, since load reports are stale within milliseconds.
 
-use crate::{backend, interim, metrics, pool, state};
+use crate::{backend, interim, metrics, pool, server_traffic, state};
 use http_body_util::BodyExt;
 use hyper::header;
 use nutmegdale_admission::bucket;
@@ -135,6 +135,10 @@
         true => ProbeError::Closed,
         false => ProbeError::Unserved,
     };
+    let bytes = shared
+        .server_traffic
+        .bytes(backend.distance, server_traffic::Kind::Probe);
+    bytes.sent.inc_by(server_traffic::head_bytes(req.headers()));
     let interim = interim::Limit::watch(&mut req);
     let response = tokio::select! {
         biased;
@@ -142,6 +146,9 @@
         () = interim.exceeded() => return Err(ProbeError::Failed(health::Failure::Answer)),
     };
     let (head, body) = response.into_parts();
+    bytes
+        .received
+        .inc_by(server_traffic::head_bytes(&head.headers));
     let collected = http_body_util::Limited::new(body, BODY_MAX_BYTES)
         .collect()
         .await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,6 @@
 //! State that all tasks of a gateway share.
 
-use crate::{backend, decisions, dialect, metrics, pool, settings, table};
+use crate::{backend, decisions, dialect, metrics, pool, server_traffic, settings, table};
 use arc_swap::ArcSwap;
 use hyper::header;
 use nutmegdale_admission::bucket;
@@ -39,6 +39,8 @@
     pub is_stopping: atomic::AtomicBool,
     /// Counters of the process.
     pub metrics: metrics::Metrics,
+    /// Bytes to and from servers.
+    pub server_traffic: server_traffic::ServerTraffic,
     /// Log of the decisions on requests.
     pub decision_log: decisions::DecisionLog,
     /// Logger of everything else.
@@ -80,6 +82,7 @@
             probe_budget: bucket::Bucket::new(),
             is_stopping: atomic::AtomicBool::new(false),
             metrics: metrics::Metrics::new(),
+            server_traffic: server_traffic::ServerTraffic::new(),
             decision_log: decisions::DecisionLog::new(dependencies.log.clone()),
             log: dependencies.log,
             seed: atomic::AtomicU64::new(dependencies.seed),
@@ -106,14 +109,20 @@
     }
 
     /// Returns the metrics in the Prometheus text format.
-    pub fn metrics_text(&self) -> String {
+    pub fn metrics_text(&self) -> Vec<u8> {
         let confirmed_at = clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Relaxed));
-        self.metrics.text(&[telemetry::Sample {
+        let text = self.metrics.text(&[telemetry::Sample {
             name: "nutmegdale_registry_confirmation_age_ms",
             help: "Age of the evidence that the routing table has every accepted change.",
             kind: telemetry::Kind::Gauge,
             value: self.clock.now().since(confirmed_at).0,
-        }])
+        }]);
+        [
+            text.into_bytes(),
+            self.server_traffic.text(),
+            self.client.traffic.text(),
+        ]
+        .concat()
     }
 
     /// Waits up to `limit` for the first configuration.
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -160,7 +160,7 @@
     far.version.store(2, atomic::Ordering::Relaxed);
     let elapsed = wait_version(&shared, 2).await;
     assert!(elapsed < time::Duration::from_millis(1_000), "{elapsed:?}");
-    let confirmation = shared.metrics_text();
+    let confirmation = String::from_utf8(shared.metrics_text()).expect("text");
     assert!(
         confirmation.contains("nutmegdale_registry_confirmation_age_ms"),
         "{confirmation}"
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::error;
 use crate::message;
+use crate::traffic;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::client::conn::http1;
@@ -36,6 +37,8 @@
 pub struct Client {
     token: String,
     idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<Idle>>>,
+    /// Calls and their bytes.
+    pub traffic: traffic::Traffic,
 }
 
 #[derive(Debug)]
@@ -50,6 +53,7 @@
         Client {
             token: token.to_owned(),
             idle: sync::Mutex::default(),
+            traffic: traffic::Traffic::new(),
         }
     }
 
@@ -173,6 +177,7 @@
         body: Vec<u8>,
     ) -> error::Result<Bytes> {
         let mut sender = self.checkout(peer).await?;
+        self.traffic.record_sent(name, body.len());
         let req = hyper::Request::post(format!("{}{name}", message::CALL_PATH))
             .header(hyper::header::HOST, peer.to_string())
             .header(message::PROTOCOL_HEADER, message::PROTOCOL)
@@ -193,6 +198,7 @@
         let body = collected
             .map_err(|err| error::Error::NoAnswer(err.to_string()))?
             .to_bytes();
+        self.traffic.record_received(name, body.len());
         if !status.is_success() {
             let text = String::from_utf8_lossy(&body).into_owned();
             return Err(error::Error::Refused(status.as_u16(), text));
