coordinator: keep the list of entry processes still in a calm; follow the near one sooner

A coordinator that got the leader's list took the leader's echo of its own report, which is younger than its own record, for a sync elsewhere, stopped listing the process as its own, and the leader then removed it; that change made it send its list again. At the start all processes followed one of three seeds for 5 s, 2 of 3 of them in another region, since the coordinator of their zone was not current at the first attempt.

Change: reports of others are ignored for 1.5 s after a sync with this coordinator; the nearest coordinator is tried again after 0.6 s, doubling to 5 s.

--- a/crates/coordinator/src/entries.rs
+++ b/crates/coordinator/src/entries.rs
@@ -23,6 +23,13 @@
     pub age: clock::Millis,
 }
 
+/// Time after the last sync with this coordinator during which reports on a process are ignored.
+///
+/// Others repeat what this coordinator told them, with a younger age, so a report does not show that
+/// the process has moved. A process that still follows this coordinator syncs sooner; one that has
+/// moved is taken from the report before its own record expires.
+const OWN_EVIDENCE_MS: clock::Millis = clock::Millis(1_500);
+
 #[derive(Debug)]
 struct Record {
     entry: follow::Entry,
@@ -37,6 +44,11 @@
         now.since(self.last_sync) < ALIVE_MS
     }
 
+    /// Returns whether reports of others are ignored.
+    fn has_own_evidence(&self, now: clock::Millis) -> bool {
+        self.is_direct && now.since(self.last_sync) < OWN_EVIDENCE_MS
+    }
+
     fn status(&self, now: clock::Millis) -> EntryStatus {
         EntryStatus {
             entry: self.entry.clone(),
@@ -61,6 +73,10 @@
     /// Merges the entry processes that another coordinator reports.
     pub fn merge(&mut self, now: clock::Millis, reported: &[EntryStatus]) {
         for status in reported {
+            let known = self.records.get(&status.entry.name);
+            if known.is_some_and(|record| record.has_own_evidence(now)) {
+                continue;
+            }
             let last_sync = clock::Millis(now.since(status.age).0);
             self.upsert(&status.entry, status.is_ready, last_sync, false);
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,8 +14,12 @@
 const RESPONSE_TIMEOUT_MS: clock::Millis = clock::Millis(400);
 /// Backoff after every coordinator has failed once.
 const BACKOFF_MS: u64 = 100;
-/// Time after a failover after which the nearest coordinator is tried again.
-const FAILBACK_MS: clock::Millis = clock::Millis(5_000);
+/// Time after a failover after which the nearest coordinator is tried again. After a start it is
+/// often not current for a moment, and syncs with one of another region are billed. The time
+/// doubles with each failed attempt, since an attempt at a silent coordinator costs a timeout.
+const FAILBACK_MIN_MS: clock::Millis = clock::Millis(600);
+/// Longest time after which the nearest coordinator is tried again.
+const FAILBACK_MAX_MS: clock::Millis = clock::Millis(5_000);
 /// Time without a current coordinator after which a response of one that is not current is used,
 /// since outdated data is better than none.
 const STALE_AFTER_MS: clock::Millis = clock::Millis(2_500);
@@ -37,6 +41,8 @@
     /// Time of the first failure since the nearest coordinator was last tried; starts the failback
     /// delay.
     failover_at: Option<clock::Millis>,
+    /// Time after a failover after which the nearest coordinator is tried again.
+    failback_delay: clock::Millis,
     /// Index of the current coordinator in the list of targets.
     target_index: usize,
     /// Coordinator that gave the last current response.
@@ -63,6 +69,7 @@
             coordinators: Vec::new(),
             last_current: now,
             failover_at: None,
+            failback_delay: FAILBACK_MIN_MS,
             target_index: 0,
             followed: None,
         }
@@ -74,12 +81,11 @@
         loop {
             let targets = self.targets();
             let now = self.shared.clock.now();
-            if self
-                .failover_at
-                .is_some_and(|at| now.since(at) >= FAILBACK_MS)
-            {
+            let delay = self.failback_delay;
+            if self.failover_at.is_some_and(|at| now.since(at) >= delay) {
                 self.target_index = 0;
                 self.failover_at = None;
+                self.failback_delay = (delay + delay).min(FAILBACK_MAX_MS);
             }
             let index = self.target_index % targets.len().max(1);
             let is_current = match targets.get(index) {
@@ -88,6 +94,9 @@
             };
             if is_current {
                 failed_count = 0;
+                if index == 0 {
+                    self.failback_delay = FAILBACK_MIN_MS;
+                }
                 continue;
             }
             metrics::increment(&self.shared.metrics.syncs_failed);
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -131,14 +131,13 @@
     start.elapsed()
 }
 
-/// Guards against an entry process that stays with the coordinator of its own zone although this
-/// coordinator says that it may have missed changes.
-#[tokio::test]
-async fn entry_process_leaves_a_coordinator_that_is_not_current() {
-    let (_stop, stopped) = watch::channel(false);
-    let coordinators = start(&["zone", "far"], &stopped).await;
+/// Starts a gateway in zone "zone" that knows the coordinators as seeds.
+async fn start_gateway(
+    coordinators: &[sync::Arc<Coordinator>],
+    stopped: &watch::Receiver<bool>,
+) -> sync::Arc<state::Shared> {
     let seeds = coordinators.iter().map(|c| c.address).collect();
-    let (_seeds, seeds) = watch::channel(seeds);
+    let (seeds_tx, seeds) = watch::channel(seeds);
     let dependencies = state::Dependencies {
         clock: sync::Arc::new(telemetry_clock::SystemClock::start()),
         dialect: sync::Arc::new(stub::TestDialect),
@@ -150,7 +149,36 @@
     settings.entry.address = free_address().await;
     let gateway = service::Gateway::new(settings, seeds, dependencies, stopped.clone());
     let shared = sync::Arc::clone(&gateway.shared);
-    let running = tokio::spawn(gateway.run());
+    tokio::spawn(async move {
+        let _seeds = seeds_tx;
+        gateway.run().await
+    });
+    shared
+}
+
+/// Guards against entry processes that stay with a coordinator of another region for seconds after a
+/// start, because the one of their zone was not current at the first attempt.
+#[tokio::test]
+async fn entry_process_returns_to_the_nearest_coordinator_soon() {
+    let (_stop, stopped) = watch::channel(false);
+    let coordinators = start(&["zone", "far"], &stopped).await;
+    let own = &coordinators[0];
+    own.is_current.store(false, atomic::Ordering::Relaxed);
+    let shared = start_gateway(&coordinators, &stopped).await;
+    wait_version(&shared, 1).await;
+    own.is_current.store(true, atomic::Ordering::Relaxed);
+    own.version.store(2, atomic::Ordering::Relaxed);
+    let elapsed = wait_version(&shared, 2).await;
+    assert!(elapsed < time::Duration::from_millis(2_000), "{elapsed:?}");
+}
+
+/// Guards against an entry process that stays with the coordinator of its own zone although this
+/// coordinator says that it may have missed changes.
+#[tokio::test]
+async fn entry_process_leaves_a_coordinator_that_is_not_current() {
+    let (_stop, stopped) = watch::channel(false);
+    let coordinators = start(&["zone", "far"], &stopped).await;
+    let shared = start_gateway(&coordinators, &stopped).await;
     wait_version(&shared, 1).await;
 
     let [own, far] = &coordinators[..] else {
@@ -165,5 +193,4 @@
         confirmation.contains("nutmegdale_registry_confirmation_age_ms"),
         "{confirmation}"
     );
-    running.abort();
 }
