registry, coordinator: send changes of the list of entry processes, not the list

Each of 719 announcements wakes each of 315 followers, and each reply brings the whole list, which changes as well. Messages: announcements times processes; bytes: processes times the length of the list, again and again.

Change: a coordinator keeps its last 16 lists by digest and sends the difference to a follower that holds one of them (call registry-sync-changes; older builds, both ways, go on with whole lists). Changes within 100 ms of a sync go into one reply; a first copy is still sent at once, and a change that finds a sync held for longer too.

Tests: restart_of_all_processes_costs_each_follower_bytes_for_each_process_once (30, 100, 300 and 1,000 processes; 3 times 160 bytes for each process, where whole lists cost their length each time), changes_turn_any_list_into_any_other.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -77,6 +77,10 @@
                     server::encode_compact(&reply)
                 }))
             }
+            follow::SYNC_CHANGES => Some(Box::pin(async move {
+                let req: follow::SyncRequest = server::decode(&body)?;
+                server::encode_compact(&operations.sync_changes(&req).await)
+            })),
             GOSSIP | GOSSIP_CONFIRMED => {
                 let has_evidence = name == GOSSIP_CONFIRMED;
                 Some(Box::pin(async move {
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -4,7 +4,7 @@
 use displaydoc::Display;
 use nutmegdale_base::clock;
 use nutmegdale_consensus::{status, types};
-use nutmegdale_registry::{config, document, follow, server, state};
+use nutmegdale_registry::{config, document, entry_list, follow, server, state};
 use nutmegdale_replica::handle;
 use nutmegdale_rpc::client;
 use nutmegdale_telemetry::limiter;
@@ -60,6 +60,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct SoftState {
     pub(crate) entries: entries::Entries,
+    /// Recent lists of ready entry processes, of which followers hold one.
+    pub(crate) entry_lists: entry_list::History,
     pub(crate) peers: gossip::Peers,
     pub(crate) confirmation: confirmation::Confirmation,
     /// Entry processes of this coordinator, with their readiness, in the last list that each other
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,6 +3,7 @@
 use crate::{metrics, state, table};
 use nutmegdale_base::{clock, digest};
 use nutmegdale_registry::{config, follow};
+use nutmegdale_rpc::{client, error};
 use std::net;
 use std::sync;
 use std::time;
@@ -147,26 +148,21 @@
             hold: HOLD_MS,
         };
         let sent_at = self.shared.clock.now();
-        let call = self.shared.client.call_compact_or(
-            target,
-            follow::SYNC_CONFIRMED,
-            follow::SYNC,
-            &req,
-            HOLD_MS + RESPONSE_TIMEOUT_MS,
-        );
-        let reply: nutmegdale_rpc::error::Result<follow::SyncReply> = tokio::select! {
-            reply = call => reply,
+        let client = &self.shared.client;
+        let update = tokio::select! {
+            update = request_changes(client, target, &req) => update,
             // Ends this sync, so that the next one announces at once that the process is leaving.
             _ = self.stop.wait_for(|is_stopping| *is_stopping), if is_ready => return true,
         };
         let now = self.shared.clock.now();
-        let reply = match reply {
-            Ok(reply) => reply,
+        let update = match update {
+            Ok(update) => update,
             Err(err) => {
                 self.log_lost(target, &err);
                 return false;
             }
         };
+        let reply = &update.reply;
         let is_current = reply.is_current;
         let is_stale = now.since(self.last_current) >= STALE_AFTER_MS;
         if is_current {
@@ -182,7 +178,7 @@
         let confirmed_at = reply
             .confirmation_age
             .map(|age| clock::Millis(sent_at.since(age).0));
-        self.apply(now, reply, target);
+        self.apply(now, update, target);
         if let Some(at) = confirmed_at {
             self.shared.record_confirmation(at);
         }
@@ -217,9 +213,9 @@
     }
 
     /// Applies the changes of a reply and publishes a new table if there were any.
-    fn apply(&mut self, now: clock::Millis, reply: follow::SyncReply, source: net::SocketAddr) {
-        let confirmation_age = reply.confirmation_age;
-        if !self.copy.apply(now, reply) {
+    fn apply(&mut self, now: clock::Millis, update: follow::SyncUpdate, source: net::SocketAddr) {
+        let confirmation_age = update.reply.confirmation_age;
+        if !self.copy.apply_update(now, update) {
             return;
         }
         if self.copy.version != self.decoded_version {
@@ -245,6 +241,24 @@
     }
 }
 
+/// Requests the changes from a coordinator, which may be of an older build.
+async fn request_changes(
+    client: &client::Client,
+    target: net::SocketAddr,
+    req: &follow::SyncRequest,
+) -> error::Result<follow::SyncUpdate> {
+    let timeout = HOLD_MS + RESPONSE_TIMEOUT_MS;
+    let update = client.call_compact(target, follow::SYNC_CHANGES, req, timeout);
+    match update.await {
+        Err(err) if err.is_unknown_call() => {
+            let (name, older) = (follow::SYNC_CONFIRMED, follow::SYNC);
+            let reply = client.call_compact_or(target, name, older, req, timeout);
+            reply.await.map(|reply: follow::SyncReply| reply.into())
+        }
+        update => update,
+    }
+}
+
 /// Returns a sort key that spreads processes evenly over coordinators at the same distance.
 fn spread_hash(name: &str, address: net::SocketAddr) -> u64 {
     digest::of(&(name, address))
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -1,6 +1,7 @@
 //! Messages between a follower of the registry and a coordinator, and the follower's copy.
 
 use crate::document;
+use crate::entry_list;
 use crate::feed;
 use crate::server;
 use nutmegdale_base::{clock, digest};
@@ -14,6 +15,9 @@
 /// cannot decode.
 pub const SYNC_CONFIRMED: &str = "registry-sync-confirmed";
 
+/// Name of the same call with a [`SyncUpdate`] as its reply.
+pub const SYNC_CHANGES: &str = "registry-sync-changes";
+
 /// Identity and location of an entry process.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Entry {
@@ -73,6 +77,24 @@
     pub confirmation_age: Option<clock::Millis>,
 }
 
+/// Reply to [`SYNC_CHANGES`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncUpdate {
+    /// Reply without a list of entry processes, unless the whole list is needed.
+    pub reply: SyncReply,
+    /// Changes to the list of entry processes that the follower holds.
+    pub entry_changes: Option<entry_list::EntryChanges>,
+}
+
+impl From<SyncReply> for SyncUpdate {
+    fn from(reply: SyncReply) -> SyncUpdate {
+        SyncUpdate {
+            reply,
+            entry_changes: None,
+        }
+    }
+}
+
 /// Returns the digest by which two lists of entry processes are compared.
 pub fn entries_digest(entries: &[Entry]) -> u64 {
     digest::of(entries)
@@ -107,6 +129,15 @@
 }
 
 impl LocalCopy {
+    /// Applies a reply with changes to the list of entry processes; returns whether anything changed.
+    pub fn apply_update(&mut self, now: clock::Millis, update: SyncUpdate) -> bool {
+        let has_entry_changes = update.entry_changes.is_some();
+        if let Some(changes) = update.entry_changes {
+            changes.apply(&mut self.entries);
+        }
+        self.apply(now, update.reply) || has_entry_changes
+    }
+
     /// Applies a reply and returns whether anything changed.
     pub fn apply(&mut self, now: clock::Millis, reply: SyncReply) -> bool {
         let mut is_changed = false;
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -20,8 +20,6 @@
 /// SYN only after a second. Giving up earlier lets the caller retry as soon as the peer is up
 /// again.
 const CONNECT_MS: clock::Millis = clock::Millis(300);
-/// Status by which a peer refuses a call that it does not know.
-const UNKNOWN_CALL: u16 = 404;
 /// Maximum number of idle connections kept per peer.
 const IDLE_MAX_COUNT: usize = 4;
 /// Idle time after which a connection is not used again. Connections that carry regular calls are
@@ -109,7 +107,7 @@
         timeout: clock::Millis,
     ) -> error::Result<A> {
         match self.call_compact(peer, name, body, timeout).await {
-            Err(error::Error::Refused(status, _)) if status == UNKNOWN_CALL => {
+            Err(err) if err.is_unknown_call() => {
                 self.call_compact(peer, older, body, timeout).await
             }
             reply => reply,
--- a/crates/rpc/src/error.rs
+++ b/crates/rpc/src/error.rs
@@ -19,5 +19,15 @@
 
 impl std::error::Error for Error {}
 
+/// Status by which a peer refuses a call that it does not know.
+const UNKNOWN_CALL: u16 = 404;
+
+impl Error {
+    /// Returns whether the peer does not know the call, since it runs an older build.
+    pub fn is_unknown_call(&self) -> bool {
+        matches!(self, Error::Refused(UNKNOWN_CALL, _))
+    }
+}
+
 /// Result of a call.
 pub type Result<T> = std::result::Result<T, Error>;
