gateway: refuse what a stopping process could not finish, and answer what it cuts off

Report of another operator: in a planned stop, requests that came late in the grace were passed on and cut without an answer at its end, among them one-time filings. It could happen here: the listener closes at 45% of the grace, but a request whose body ends later, and a retry, were still sent until the process ended at 92% and dropped its connections. With the grace of 10 s and the 760 ms of a filing of the large deployment even a request at 45% can outlast it at a VM that is slowed down seven times.

Change: a stopping process sends a request (first attempts, retries) only while six times the expected service time is left; otherwise it is refused as not run. At 90% of the grace the requests in flight are answered as unknown (502).

Tests with these two decisions taken out: late_request_is_refused_before_it_is_sent, request_whose_body_ends_late_is_refused and request_in_flight_at_the_end_gets_an_answer fail.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -38,6 +38,19 @@
     pub to_deadline: clock::Millis,
 }
 
+/// Multiple of the expected service time that a request may take while its server's VM is slowed
+/// down by others.
+const SLOW_FACTOR: f64 = 6.0;
+
+/// Returns whether a stopping process may send a request that usually takes `service_time_ms`, given
+/// the time `left` until it cuts off what has not ended.
+///
+/// Load pattern: a planned stop in which requests arrive until the end, some of them with bodies
+/// that take seconds. One that is cut off may have run, so it is refused while that is still true.
+pub fn can_end_before_stop(left: clock::Millis, service_time_ms: f64) -> bool {
+    left.0 as f64 >= service_time_ms * SLOW_FACTOR + MARGIN_MS
+}
+
 /// Decides on a request, given the prediction for the best server and whether the route's estimated
 /// service time may be stale.
 ///
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -90,6 +90,8 @@
     HedgeDue(hedge_timer::Trigger),
     /// The deadline of the request has passed.
     Deadline,
+    /// The process ends before the attempts do.
+    ProcessEnds,
 }
 
 async fn next_event(
@@ -109,6 +111,7 @@
         Some(result) = attempts.next() => Event::AttemptEnded(result),
         trigger = hedge_due => Event::HedgeDue(trigger),
         () = tokio::time::sleep(time_left) => Event::Deadline,
+        () = call.shared.wait_ending() => Event::ProcessEnds,
     }
 }
 
@@ -152,6 +155,11 @@
                     self.unknown_reason = Some(outcome::Reason::Deadline);
                     return self.finish(call);
                 }
+                Event::ProcessEnds => {
+                    call.trace.push_event(call.elapsed(), "process-ends");
+                    self.unknown_reason = Some(outcome::Reason::ShuttingDown);
+                    return self.finish(call);
+                }
                 Event::HedgeDue(trigger) => {
                     call.trace.push_hedge(call.elapsed(), trigger);
                     match self.hedge(call, &mut attempts, &mut hedge_timer).await {
@@ -218,11 +226,24 @@
         call: &mut call::Call<'_>,
         attempts: &mut FuturesUnordered<AttemptFuture>,
     ) -> Option<hedge_timer::HedgeTimer> {
+        if !self.can_end_before_stop(call) {
+            let reason = outcome::Reason::ShuttingDown;
+            call.trace.push_event(call.elapsed(), reason.name());
+            // Other processes serve the caller at once.
+            self.rejection = Some(picker::Rejection::new(reason, clock::Millis::ZERO));
+            return None;
+        }
         let target = self.target(call)?;
         let result = self.pick_server(call, &target).await;
         self.launch(call, attempts, &target, result, false)
     }
 
+    /// Returns whether another attempt is likely to end before a stopping process cuts it off.
+    fn can_end_before_stop(&self, call: &call::Call<'_>) -> bool {
+        let service_time_ms = self.route.estimate.service_time_ms();
+        admission::can_end_before_stop(call.shared.stop_time_left(), service_time_ms)
+    }
+
     /// Returns the target of another attempt, unless the limit of attempts is reached.
     fn target(&self, call: &call::Call<'_>) -> Option<Target> {
         if self.attempts_count >= self.route.spec.attempts_max {
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -7,7 +7,6 @@
 use std::io;
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::time;
 use tokio::sync::watch;
 
@@ -16,6 +15,9 @@
 /// Percentage of the grace period for which a stopping gateway still accepts new requests: callers
 /// learn of the shutdown only when they next resolve the addresses of entry processes.
 const DRAIN_DELAY_PERCENT: u64 = 45;
+/// Percentage of the grace period after which requests in flight get a final response that says that
+/// their outcome is unknown.
+const REQUESTS_END_PERCENT: u64 = 90;
 /// Percentage of the grace period after which all requests must have ended.
 const DRAIN_END_PERCENT: u64 = 92;
 
@@ -86,11 +88,18 @@
 ) {
     // The sender is never dropped while the process runs.
     drop(stop.wait_for(|is_stopping| *is_stopping).await);
-    shared.is_stopping.store(true, atomic::Ordering::Release);
+    let grace = shared.settings.bounds.grace.0;
+    let requests_end = grace * REQUESTS_END_PERCENT / 100;
+    shared.begin_stop(shared.clock.now() + clock::Millis(requests_end));
     slog::info!(shared.log, "gateway stops");
-    let delay = shared.settings.bounds.grace.0 * DRAIN_DELAY_PERCENT / 100;
+    let delay = grace * DRAIN_DELAY_PERCENT / 100;
     tokio::time::sleep(time::Duration::from_millis(delay)).await;
     closed.send_replace(true);
+    let rest = time::Duration::from_millis(requests_end - delay);
+    tokio::spawn(async move {
+        tokio::time::sleep(rest).await;
+        shared.end_requests();
+    });
 }
 
 async fn sweep_idle(shared: sync::Arc<state::Shared>) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,7 +36,11 @@
     /// Client for calls to coordinators.
     pub client: client::Client,
     /// Whether the process is shutting down.
-    pub is_stopping: atomic::AtomicBool,
+    is_stopping: atomic::AtomicBool,
+    /// Time at which a stopping process cuts off requests, in milliseconds.
+    stop_end_ms: atomic::AtomicU64,
+    /// Turns true when the requests in flight get their final response, since the process ends.
+    is_ending: watch::Sender<bool>,
     /// Counters of the process.
     pub metrics: metrics::Metrics,
     /// Bytes to and from servers.
@@ -81,6 +85,8 @@
             confirmed_at_ms: atomic::AtomicU64::new(0),
             probe_budget: bucket::Bucket::new(),
             is_stopping: atomic::AtomicBool::new(false),
+            stop_end_ms: atomic::AtomicU64::new(u64::MAX),
+            is_ending: watch::channel(false).0,
             metrics: metrics::Metrics::new(),
             server_traffic: server_traffic::ServerTraffic::new(),
             decision_log: decisions::DecisionLog::new(dependencies.log.clone()),
@@ -138,6 +144,30 @@
         self.is_stopping.load(atomic::Ordering::Acquire)
     }
 
+    /// Marks the process as stopping; it will cut off requests at `end`.
+    pub fn begin_stop(&self, end: clock::Millis) {
+        self.stop_end_ms.store(end.0, atomic::Ordering::Release);
+        self.is_stopping.store(true, atomic::Ordering::Release);
+    }
+
+    /// Returns the time until requests are cut off; without end if the process is not stopping.
+    pub fn stop_time_left(&self) -> clock::Millis {
+        let end = clock::Millis(self.stop_end_ms.load(atomic::Ordering::Acquire));
+        end.since(self.clock.now())
+    }
+
+    /// Gives the requests in flight their final response.
+    pub fn end_requests(&self) {
+        self.is_ending.send_replace(true);
+    }
+
+    /// Waits until the requests in flight have to end.
+    pub async fn wait_ending(&self) {
+        let mut is_ending = self.is_ending.subscribe();
+        // The sender lives as long as the state.
+        drop(is_ending.wait_for(|is_ending| *is_ending).await);
+    }
+
     /// Returns whether callers may be directed to this process.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.table.load().config_version > 0
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -219,6 +219,22 @@
         self.publish(&copy);
     }
 
+    /// Marks the gateway as stopping, so that it cuts off requests after `left`.
+    pub(crate) fn begin_stop(&self, left: time::Duration) {
+        let left = clock::Millis(left.as_millis() as u64);
+        self.shared.begin_stop(self.shared.clock.now() + left);
+    }
+
+    /// Gives the requests in flight their final response, as at the end of a stop.
+    pub(crate) fn end_requests(&self) {
+        self.shared.end_requests();
+    }
+
+    /// Returns the address for callers.
+    pub(crate) fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
     /// Limits the gateway to one connection to a server and takes it.
     pub(crate) async fn take_only_connection(&self, server_id: &str) -> pool::Connection {
         let table = self.shared.table.load_full();
