gateway: test that a response which breaks off at any byte never leaves as a 200

Report of another operator (a server stopped in the middle of its head; clients got a 200 with an empty or short body). Not possible here: a response is read whole, or up to 1 MiB, before its head is passed on, and an incomplete head is an error of the connection. The test cuts a response with a length and one in chunks after every byte, and one without either at every byte of its head; it passes without a change.

--- a/crates/gateway/tests/misbehaving_servers.rs
+++ b/crates/gateway/tests/misbehaving_servers.rs
@@ -165,3 +165,41 @@
     assert_eq!(response.status, 503);
     assert!(start.elapsed() < TIMEOUT / 2, "{:?}", start.elapsed());
 }
+
+/// Guards against a response that a server broke off, in its head or its body, and that leaves as a
+/// whole 200: after every number of bytes, with a length, in chunks and without either.
+#[tokio::test]
+async fn response_that_breaks_off_anywhere_is_not_forwarded() {
+    let whole = |n: usize, id: &str| {
+        let head = format!("HTTP/1.1 200 OK\r\nsigned: 1\r\nid: {id}\r\n");
+        match n {
+            0 => format!("{head}content-length: 12\r\n\r\nwhole answer"),
+            1 => format!("{head}transfer-encoding: chunked\r\n\r\nc\r\nwhole answer\r\n0\r\n\r\n"),
+            // The body would end with the connection, so only the head can break off visibly.
+            _ => format!("{head}\r\n"),
+        }
+    };
+    for n in 0..3 {
+        let respond = move |_: usize, head: &str| {
+            let id = id_of(head);
+            let count = id.strip_prefix("cut-").and_then(|count| count.parse().ok());
+            match count {
+                Some(count) if !is_health_check(head) => {
+                    Output::Close(whole(n, id).chars().take(count).collect())
+                }
+                _ => Output::Bytes(ok("")),
+            }
+        };
+        let server = RawServer::start(&sync::Arc::default(), respond).await;
+        let class = class::Class::OneTimeFiling;
+        let harness = stub::Harness::start_with(class, &[server.address]).await;
+        for count in 0..whole(n, "cut-100").len() {
+            let id = format!("cut-{count}");
+            if count >= whole(n, &id).len() {
+                break;
+            }
+            let response = harness.send(&id).await;
+            assert_ne!(response.status, 200, "{count} bytes of {:?}", whole(n, &id));
+        }
+    }
+}
--- a/crates/gateway/tests/stub/raw.rs
+++ b/crates/gateway/tests/stub/raw.rs
@@ -16,6 +16,8 @@
 pub(crate) enum Output {
     /// Bytes, after which the connection is kept.
     Bytes(String),
+    /// Bytes, after which the connection is closed.
+    Close(String),
     /// Bytes, and then the second string again and again until the connection is closed.
     Endless(String, String),
 }
@@ -72,6 +74,11 @@
                     return;
                 }
             }
+            Output::Close(bytes) => {
+                // The caller of the gateway sees a failure either way.
+                drop(stream.write_all(bytes.as_bytes()).await);
+                return;
+            }
             Output::Endless(first, repeated) => {
                 let chunk = repeated.repeat(16 * 1024 / repeated.len().max(1));
                 let mut bytes = first.into_bytes();
