--- a/crates/gateway/tests/availability.rs
+++ b/crates/gateway/tests/availability.rs
@@ -162,3 +162,20 @@
     let refused = (0..20).filter(|n| held_back.arrivals(&format!("filing-{n}")) > 0);
     assert!(refused.count() <= 1);
 }
+
+/// Guards against work that is started again or given up because its server was silent for so long
+/// that the registry forgot it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_in_flight_outlives_the_announcement_of_its_server() {
+    for class in [class::Class::OneTimeFiling, class::Class::UrgentLookup] {
+        let behaviours = [stub::Behaviour::Slow; 2];
+        let harness = stub::Harness::start(class, &behaviours).await;
+        let expiry = async {
+            tokio::time::sleep(time::Duration::from_millis(70)).await;
+            harness.forget_and_announce(1);
+        };
+        let (response, ()) = tokio::join!(harness.send("in flight"), expiry);
+        assert_eq!(response.status, 200, "{class:?}");
+        assert_eq!(harness.runs("in flight"), 1, "{class:?}");
+    }
+}
