--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a coordinator.
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use nutmegdale_telemetry::metrics;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Metrics of one coordinator.
 #[derive(Debug)]
@@ -91,11 +92,7 @@
 
     /// Encodes the metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
-        let mut buf = Vec::new();
-        // Writing to memory fails only for a metric without a name.
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
-        encoded.expect("metrics can be encoded");
-        buf
+        metrics::encode(&self.registry)
     }
 }
 
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -206,8 +206,8 @@
         let reply = self.propose(&state::Command::Announce(announcement)).await;
         if let Some(suppressed) = self.announcement_lines.admit(self.clock.now()) {
             slog::info!(self.log, "server announced"; "server" => id, "born" => born,
-                "service" => service, "zone" => zone, "state" => ?state, "cold_left_ms" => cold_left.0, "outcome" => ?reply,
-                "suppressed" => suppressed);
+                "service" => service, "zone" => zone, "state" => ?state,
+                "cold_left_ms" => cold_left.0, "outcome" => ?reply, "suppressed" => suppressed);
         }
         reply.map(drop)
     }
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -128,7 +128,7 @@
     /// Returns whether the server accepts requests now. Each attempt and each health check tests
     /// this again right before it writes its request.
     pub fn accepts(&self, now: clock::Millis) -> bool {
-        self.is_open() && self.availability.backoff_left(now) == clock::Millis::ZERO
+        self.is_open.load(atomic::Ordering::Acquire) && self.availability.is_available(now)
     }
 
     /// Records that the server is leaving; returns whether that is news.
--- a/crates/gateway/src/server_traffic.rs
+++ b/crates/gateway/src/server_traffic.rs
@@ -5,7 +5,8 @@
 
 use hyper::header;
 use nutmegdale_dispatch::placement;
-use prometheus::{Encoder, IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
+use nutmegdale_telemetry::metrics;
+use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
 
 /// Bytes of a request line or status line, about, and of the empty line after the header fields.
 const START_LINE_BYTES: usize = 40;
@@ -83,11 +84,7 @@
 
     /// Returns the counters in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .expect("metrics can be encoded in memory");
-        text
+        metrics::encode(&self.registry)
     }
 }
 
--- a/crates/rpc/src/traffic.rs
+++ b/crates/rpc/src/traffic.rs
@@ -4,7 +4,8 @@
 //! grows with it, and only a count by kind of message shows which. Bytes are those of the bodies;
 //! the heads of HTTP come on top. See [docs/CAPACITY.md](../../../docs/CAPACITY.md).
 
-use prometheus::{Encoder, IntCounterVec, Opts, Registry, TextEncoder};
+use nutmegdale_telemetry::metrics;
+use prometheus::{IntCounterVec, Opts, Registry};
 
 /// Counters of the calls that one client sends. The names of calls are constants, so the number of
 /// series is bounded.
@@ -55,11 +56,7 @@
 
     /// Returns the counters in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .expect("metrics can be encoded in memory");
-        text
+        metrics::encode(&self.registry)
     }
 }
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -18,6 +18,18 @@
 /// Label value for an unknown class.
 const NO_CLASS: &str = "none";
 
+/// Encodes the metrics of a registry in the Prometheus text format.
+///
+/// # Panics
+///
+/// Panics if a metric has no name; writing to memory does not fail otherwise.
+pub fn encode(registry: &Registry) -> Vec<u8> {
+    let mut buf = Vec::new();
+    let encoded = TextEncoder::new().encode(&registry.gather(), &mut buf);
+    encoded.expect("metrics can be encoded");
+    buf
+}
+
 /// Metric handles for one class; `not_run` and `unknown` are indexed by reason.
 #[derive(Debug)]
 struct ClassSeries {
@@ -95,10 +107,7 @@
 
     /// Returns the metrics in the Prometheus text format, followed by `samples`.
     pub fn text(&self, samples: &[Sample]) -> String {
-        let mut buf = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
-        encoded.expect("metrics can be encoded");
-        let mut text = String::from_utf8(buf).expect("the text format is UTF-8");
+        let mut text = String::from_utf8(encode(&self.registry)).expect("the text format is UTF-8");
         for sample in samples {
             sample.write(&mut text);
         }
