--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -29,8 +29,8 @@
 /// Client for calls that keeps a small pool of idle connections per peer.
 ///
 /// Open connections can go silent without a reset, usually many at the same time. A call that times
-/// out on one of them therefore closes all idle connections, so that the next calls, to whichever
-/// peer, are not lost to the same fault.
+/// out therefore closes all idle connections, so that the next calls, to whichever peer, are not lost
+/// to the same fault.
 #[derive(Debug)]
 pub struct Client {
     token: String,
