gateway: go to another coordinator after a sync that timed out

Cause: the time of a failover was that of the start of the sync that failed. With the shorter failback of (0.6 s), a sync that timed out after 0.9 s was therefore repeated at the same coordinator at once, so that a silent or overloaded one cost two timeouts.

Test that failed before: entry_process_leaves_a_silent_coordinator_after_one_timeout (1.5 s bound).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -102,7 +102,8 @@
             }
             metrics::increment(&self.shared.metrics.syncs_failed);
             self.target_index = index + 1;
-            self.failover_at.get_or_insert(now);
+            let failed_at = self.shared.clock.now();
+            self.failover_at.get_or_insert(failed_at);
             failed_count += 1;
             if failed_count >= targets.len() {
                 failed_count = 0;
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -22,6 +22,7 @@
     zone: &'static str,
     version: atomic::AtomicU64,
     is_current: atomic::AtomicBool,
+    is_silent: atomic::AtomicBool,
 }
 
 impl Coordinator {
@@ -36,6 +37,9 @@
         while is_current() && self.version() <= req.index && held_since.elapsed() < hold {
             tokio::time::sleep(time::Duration::from_millis(5)).await;
         }
+        while self.is_silent.load(atomic::Ordering::Relaxed) {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
         let version = self.version();
         let change = feed::Change::Configuration {
             version,
@@ -89,6 +93,7 @@
             zone,
             version: atomic::AtomicU64::new(1),
             is_current: atomic::AtomicBool::new(true),
+            is_silent: atomic::AtomicBool::new(false),
         }));
         listeners.push(listener);
     }
@@ -172,6 +177,21 @@
     assert!(elapsed < time::Duration::from_millis(2_000), "{elapsed:?}");
 }
 
+/// Guards against an entry process that goes back at once to the nearest coordinator, whose sync has
+/// just timed out: each further timeout leaves it with an old configuration.
+#[tokio::test]
+async fn entry_process_leaves_a_silent_coordinator_after_one_timeout() {
+    let (_stop, stopped) = watch::channel(false);
+    let coordinators = start(&["zone", "far"], &stopped).await;
+    let shared = start_gateway(&coordinators, &stopped).await;
+    wait_version(&shared, 1).await;
+    let silent = &coordinators[0].is_silent;
+    silent.store(true, atomic::Ordering::Relaxed);
+    coordinators[1].version.store(2, atomic::Ordering::Relaxed);
+    let elapsed = wait_version(&shared, 2).await;
+    assert!(elapsed < time::Duration::from_millis(1_500), "{elapsed:?}");
+}
+
 /// Guards against an entry process that stays with the coordinator of its own zone although this
 /// coordinator says that it may have missed changes.
 #[tokio::test]
