--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -30,7 +30,7 @@
 }
 
 fn address(n: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 81, 0, n)
+    lab::address(1, n)
 }
 
 fn case(record: &mut lab::Record, folder: &PathBuf) -> io::Result<i32> {
--- a/review/tools/lab.rs
+++ b/review/tools/lab.rs
@@ -47,6 +47,13 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
+/// Returns a loopback address of this run, so that runs at the same time do not meet: the metrics port
+/// of the deploy file is the same in all of them.
+pub fn address(case: u8, n: u8) -> Ipv4Addr {
+    let run = std::process::id() % 250 + 1;
+    Ipv4Addr::new(127, 80 + case, run as u8, n)
+}
+
 /// Ports of the control processes, the same at every address.
 #[derive(Clone, Copy)]
 pub struct Ports {
@@ -160,6 +167,11 @@
 }
 
 impl Control {
+    /// Returns the id of the process while it has not been waited for.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills the process with SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
