coordinator: demote a replaced voter after a second instead of removing it after eight

Cause: a lost voter stays in the group until it has been unreachable for 8 s under one leader. Its replacement is promoted in less than a second, so the group has four voters, of which one is gone; the quorum is three. The next loss, allowed as soon as the replacement has caught up (catchUp, 4 s), leaves two, and neither can the dead voters be removed nor a new one be admitted without a quorum. Each new leader measures the 8 s anew, so with leaders among the lost machines more voters pile up.

Ruled out: slow catching up (the first replacement is a voter 0.72 s after its start) and a lost order; the group is healthy between the two losses.

Change: once the group has more voters than its target, a voter that has been unreachable for 1 s is demoted to a learner. A demotion takes its vote and can be undone: if it comes back, it is promoted again. Removal, after which the replica deletes its data, still needs 8 s. 1 s after an election timeout of at most 1.6 s lies below every catchUp, also if the leader was the lost machine. Membership changes of one round follow each other at once, not 500 ms apart.

--- a/crates/consensus/src/change.rs
+++ b/crates/consensus/src/change.rs
@@ -59,14 +59,21 @@
                 member.is_voter = true;
                 set.put(member);
             }
+            input::MemberChange::Demote(id) => {
+                set.get(id).ok_or(input::Refusal::NotMember)?;
+                if !set.is_voter(id) {
+                    return Err(input::Refusal::NotVoter);
+                }
+                set.demote(id);
+            }
             input::MemberChange::Remove(id) => {
                 set.get(id).ok_or(input::Refusal::NotMember)?;
                 set.remove(id);
-                if set.voters().next().is_none() {
-                    return Err(input::Refusal::LastVoter);
-                }
             }
         }
+        if set.voters().next().is_none() {
+            return Err(input::Refusal::LastVoter);
+        }
         Ok(set)
     }
 
@@ -101,9 +108,7 @@
             return;
         };
         let mut set = self.members().clone();
-        for member in set.members.iter_mut().filter(|m| m.id == id) {
-            member.is_voter = false;
-        }
+        set.demote(id);
         self.append_payload(types::Payload::Members(set), actions);
     }
 }
--- a/crates/consensus/src/input.rs
+++ b/crates/consensus/src/input.rs
@@ -39,6 +39,8 @@
     /// Makes a learner that has caught up a voter, and counts it towards quorums again if it was
     /// suspect.
     Promote(types::ReplicaId),
+    /// Makes a voter, which must not be the last one, a learner.
+    Demote(types::ReplicaId),
     /// Removes a member, which must not be the last voter.
     Remove(types::ReplicaId),
 }
@@ -75,9 +77,11 @@
     AlreadyMember,
     /// the replica is not a member
     NotMember,
+    /// the replica is not a voter
+    NotVoter,
     /// the replica has not caught up yet
     NotCaughtUp,
-    /// the last voter cannot be removed
+    /// the last voter cannot be removed or demoted
     LastVoter,
     /// the replica belongs to a group already
     NotBlank,
--- a/crates/consensus/src/types.rs
+++ b/crates/consensus/src/types.rs
@@ -102,6 +102,13 @@
         }
     }
 
+    /// Makes a member a learner, if present.
+    pub fn demote(&mut self, id: ReplicaId) {
+        for member in self.members.iter_mut().filter(|m| m.id == id) {
+            member.is_voter = false;
+        }
+    }
+
     /// Removes a member, if present.
     pub fn remove(&mut self, id: ReplicaId) {
         self.members.retain(|m| m.id != id);
--- a/crates/consensus/tests/focused.rs
+++ b/crates/consensus/tests/focused.rs
@@ -182,6 +182,29 @@
     ));
 }
 
+/// A demoted voter that still counted would leave the group without a quorum after the next loss, and
+/// without any voter nothing could be committed again.
+#[test]
+fn demoted_voter_counts_no_longer_and_the_last_one_stays() {
+    let mut harness = Harness::new(recovered(&[]));
+    let term = harness.elect();
+    harness.acknowledge(2, term, 2);
+    let demote = |n| input::Input::Change(input::MemberChange::Demote(net::id(n)));
+    let refused = input::Response::Refused;
+    assert_eq!(harness.step(demote(9)), refused(input::Refusal::NotMember));
+    let appended = |response| matches!(response, input::Response::Appended { .. });
+    assert!(appended(harness.step(demote(3))));
+    harness.acknowledge(3, term, 3);
+    assert_eq!(harness.node.status().commit, types::Index(2));
+    harness.acknowledge(2, term, 3);
+    assert_eq!(harness.node.status().commit, types::Index(3));
+    assert_eq!(harness.step(demote(3)), refused(input::Refusal::NotVoter));
+    assert!(appended(harness.step(demote(2))));
+    harness.step(input::Input::Tick);
+    assert_eq!(harness.node.status().commit, types::Index(4));
+    assert_eq!(harness.step(demote(1)), refused(input::Refusal::LastVoter));
+}
+
 /// A deposed leader that has not noticed it yet must not serve a read from its stale state, even if
 /// a quorum confirmed it only a moment before according to its clock.
 #[test]
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -52,6 +52,7 @@
                 }
             }
             message::MemberChange::Promote(id) => (id, input::MemberChange::Promote(id)),
+            message::MemberChange::Demote(id) => (id, input::MemberChange::Demote(id)),
             message::MemberChange::Remove(id) => (id, input::MemberChange::Remove(id)),
         };
         match handle.change(change).await {
--- a/crates/coordinator/src/repair.rs
+++ b/crates/coordinator/src/repair.rs
@@ -1,9 +1,13 @@
-//! Automatic repair of the replicated group: which member to admit, promote or remove next.
+//! Automatic repair of the replicated group: which member to admit, promote, demote or remove next.
 //!
 //! A process that restarts with an empty disk is a new replica, so the old member at its address
-//! is removed before the new one is admitted. An unreachable member is removed only while the
-//! group has more voters than its target, that is, once it has been replaced, so its removal never
-//! leaves the group smaller than before its failure.
+//! is removed before the new one is admitted. An unreachable voter loses its vote only while the
+//! group has more voters than its target, that is, once it has been replaced, so that the group
+//! never has fewer voters than before the failure. Until then the unreachable voter raises the
+//! quorum without counting towards it, so it is demoted soon: the next VM may be lost as soon as
+//! the replacement has caught up. A demotion can be undone if the voter comes back. A removal, after
+//! which the replica deletes its data, needs longer evidence.
+//! See [docs/replication.md](../../../docs/replication.md).
 
 use nutmegdale_base::clock;
 use nutmegdale_consensus::{status, types};
@@ -11,6 +15,9 @@
 use std::collections;
 use std::net;
 
+/// Time after which an unreachable surplus voter is demoted. A new leader, which starts to measure
+/// after an election timeout, has demoted it before the next VM may be lost.
+const UNREACHABLE_DEMOTION_MS: clock::Millis = clock::Millis(1_000);
 /// Time after which an unreachable surplus member is removed. It exceeds the time that a frozen or
 /// partitioned VM usually stays unreachable.
 const UNREACHABLE_REMOVAL_MS: clock::Millis = clock::Millis(8_000);
@@ -53,6 +60,7 @@
         promotion(status)
             .or_else(|| admission(status, peers))
             .or_else(|| self.removal(now, status, target_voters_count))
+            .or_else(|| self.demotion(now, status, target_voters_count))
     }
 
     fn track_unreachable(&mut self, now: clock::Millis, status: &status::Status) {
@@ -72,19 +80,51 @@
             .retain(|id, _| members.get(*id).is_some());
     }
 
+    /// Returns the member that has been unreachable longest and that the group does not need: a
+    /// learner if the voters are complete, or a surplus voter.
     fn removal(
         &self,
         now: clock::Millis,
         status: &status::Status,
         target_voters_count: usize,
     ) -> Option<message::MemberChange> {
-        if status.members.voters().count() <= target_voters_count {
+        let members = &status.members;
+        let voters_count = members.voters().count();
+        let is_surplus = |id: types::ReplicaId| match members.is_voter(id) {
+            true => voters_count > target_voters_count,
+            false => voters_count >= target_voters_count,
+        };
+        let id = self.longest_unreachable(now, UNREACHABLE_REMOVAL_MS, is_surplus)?;
+        Some(message::MemberChange::Remove(id))
+    }
+
+    fn demotion(
+        &self,
+        now: clock::Millis,
+        status: &status::Status,
+        target_voters_count: usize,
+    ) -> Option<message::MemberChange> {
+        let members = &status.members;
+        if members.voters().count() <= target_voters_count {
             return None;
         }
+        let is_voter = |id| members.is_voter(id);
+        let id = self.longest_unreachable(now, UNREACHABLE_DEMOTION_MS, is_voter)?;
+        Some(message::MemberChange::Demote(id))
+    }
+
+    /// Returns the member that has been unreachable longest, for at least `min_time`, among those
+    /// that `is_eligible` selects.
+    fn longest_unreachable(
+        &self,
+        now: clock::Millis,
+        min_time: clock::Millis,
+        is_eligible: impl Fn(types::ReplicaId) -> bool,
+    ) -> Option<types::ReplicaId> {
         let unreachable = self.unreachable_since.iter();
-        let dead = unreachable.filter(|(_, since)| now.since(**since) >= UNREACHABLE_REMOVAL_MS);
-        let longest = dead.min_by_key(|(_, since)| **since)?;
-        Some(message::MemberChange::Remove(*longest.0))
+        let eligible =
+            unreachable.filter(|(id, since)| now.since(**since) >= min_time && is_eligible(**id));
+        eligible.min_by_key(|(_, since)| **since).map(|(id, _)| *id)
     }
 }
 
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -24,6 +24,10 @@
 /// also reaches processes that the leader does not know and those that were removed.
 const ROUNDS_PER_BROADCAST: u64 = 10;
 
+/// Maximum number of membership changes in one round. A replacement takes three: the old member is
+/// removed, the new one is admitted and, once it has caught up, promoted.
+const REPAIRS_PER_ROUND_MAX_COUNT: usize = 4;
+
 /// Periodic work of one coordinator.
 pub(crate) struct Rounds {
     pub(crate) operations: sync::Arc<operations::Operations>,
@@ -289,19 +293,31 @@
     async fn repair(
         &self,
         repair: &mut repair::Repair,
-        status: &status::Status,
+        status: &sync::Arc<status::Status>,
         now: clock::Millis,
     ) {
-        let peers = self.operations.soft_state().peers.statuses(now);
         let target_count = self.settings.target_voters_count;
-        let Some(change) = repair.next_change(now, status, &peers, target_count) else {
-            return;
-        };
+        let mut status = sync::Arc::clone(status);
+        for _ in 0..REPAIRS_PER_ROUND_MAX_COUNT {
+            let peers = self.operations.soft_state().peers.statuses(now);
+            let Some(change) = repair.next_change(now, &status, &peers, target_count) else {
+                return;
+            };
+            if !self.change_member(change, &status).await {
+                return;
+            }
+            status = self.operations.handle.status();
+        }
+    }
+
+    /// Requests a membership change; returns whether it is committed.
+    async fn change_member(&self, change: message::MemberChange, status: &status::Status) -> bool {
         self.operations.metrics.repairs.inc();
         let reply = self.host.change_member(service::GROUP, change).await;
         let is_done = matches!(reply, message::MemberChangeReply::Done { .. });
         slog::info!(self.operations.log, "membership change requested"; "change" => ?change,
             "term" => status.term.0, "done" => is_done, "outcome" => ?reply);
+        is_done
     }
 
     fn was_removed(&self, status: &status::Status, now: clock::Millis) -> bool {
--- a/crates/rpc/src/message.rs
+++ b/crates/rpc/src/message.rs
@@ -194,6 +194,8 @@
     Admit(net::SocketAddr),
     /// Promotes a learner that has caught up to a voter, or readmits a replica that lost its state.
     Promote(types::ReplicaId),
+    /// Makes a voter a learner, so that it no longer counts towards quorums. It can be promoted again.
+    Demote(types::ReplicaId),
     /// Removes a member.
     Remove(types::ReplicaId),
 }
@@ -203,7 +205,7 @@
 pub enum MemberChangeReply {
     /// The change is committed.
     Done {
-        /// The replica that was admitted, promoted or removed.
+        /// The replica that was admitted, promoted, demoted or removed.
         id: types::ReplicaId,
     },
     /// The process is not the leader of the group.
