coordinator: a replica deletes its data only on a reply to its own question

Control processes that caught up with an empty disk had ended by themselves and deleted what they had.

Cause: a replica took any statement of a leader from the last 30 s as evidence of its removal, if the leader had committed more than it holds and did not list it. While it catches up, the statements from before its admission say exactly this: the first batch of the log makes it a replica with a log, and the log is longer than a batch. Gossip of third parties renewed such statements. A replica that starts over twice is no voter yet when the next disk may be lost, and the group had lost its old vote already.

Ruled out: an uncommitted removal (none in the logs), a full disk, a damaged log. Found beside it: a leader states the set in effect, so a removal that is never committed could have deleted data too.

Change: only the leader's reply to a question counts that this process sent after its replica had published a log. A leader that sends a log lists its receiver, so such a reply does not list it only if it was removed, or if its admission was lost with an earlier leader; in both cases it has to start over. The statement lists the members in effect and those last committed. The log line names the leader and what it stated.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -228,12 +228,19 @@
             applied: self.applied,
             last: self.log.last(),
             members: self.members().clone(),
+            committed_members: self.committed_members(),
             progress,
             is_repaired: self.is_repaired(),
             quorum_contact_at: self.quorum_contact_at(),
         }
     }
 
+    /// Returns the members as last committed, if those in effect are not committed yet.
+    fn committed_members(&self) -> Option<types::MemberSet> {
+        let is_pending = self.commit < self.members.current_index();
+        is_pending.then(|| self.members.at(self.commit).clone())
+    }
+
     /// Returns the start of the newest round that a quorum answered, once this replica knows what
     /// earlier leaders committed.
     fn quorum_contact_at(&self) -> Option<clock::Millis> {
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -61,6 +61,10 @@
     pub last: types::Index,
     /// Members currently in effect, committed or not.
     pub members: types::MemberSet,
+    /// Members as last committed, if those in effect are not committed yet. Not sent to other
+    /// processes, whose older builds cannot decode it.
+    #[serde(skip)]
+    pub committed_members: Option<types::MemberSet>,
     /// Replication progress of each member; empty unless this replica leads.
     pub progress: Vec<MemberProgress>,
     /// Whether the last membership change is committed and every voter holds the log up to it;
--- a/crates/coordinator/src/gossip.rs
+++ b/crates/coordinator/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use crate::{entries, repair};
 use nutmegdale_base::{clock, digest};
-use nutmegdale_consensus::types;
+use nutmegdale_consensus::{status, types};
 use serde::{Deserialize, Serialize};
 use std::collections;
 use std::net;
@@ -66,7 +66,7 @@
     pub term: types::Term,
     /// Last committed index.
     pub commit: types::Index,
-    /// Identities of the voters and learners.
+    /// Identities of the voters and learners, of the set in effect and of the last committed one.
     pub members: Vec<types::ReplicaId>,
 }
 
@@ -80,15 +80,29 @@
 }
 
 impl Group {
-    /// Returns whether `replica`, at `term` and with the log up to `last`, has been removed from
-    /// the group. A leader that has committed less may not know of its admission yet.
-    pub fn has_removed(
-        &self,
-        replica: types::ReplicaId,
-        term: types::Term,
-        last: types::Index,
-    ) -> bool {
-        self.term >= term && self.commit > last && !self.members.contains(&replica)
+    /// Creates the statement of a leader from the status of its replica.
+    pub fn of_leader(status: &status::Status) -> Group {
+        let committed = status.committed_members.iter();
+        let sets = committed.chain([&status.members]);
+        let ids = sets.flat_map(|set| set.members.iter().map(|m| m.id));
+        let members: collections::BTreeSet<_> = ids.collect();
+        Group {
+            term: status.term,
+            commit: status.commit,
+            members: members.into_iter().collect(),
+        }
+    }
+
+    /// Returns whether this statement shows that the replica with the status `asked` is no longer a
+    /// member, after which it deletes its data.
+    ///
+    /// The statement must be the leader's reply to a question that this process sent after the
+    /// replica had published `asked`. A replica that receives a log for the first time is listed by
+    /// the leader that sends it, but the first entries, and older statements, are from before its
+    /// admission.
+    pub fn has_removed(&self, asked: &status::Status) -> bool {
+        let has_log = !matches!(asked.role, status::Role::Blank | status::Role::Stopped);
+        has_log && self.term >= asked.term && !self.members.contains(&asked.id)
     }
 }
 
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -64,6 +64,8 @@
     pub(crate) entry_lists: entry_list::History,
     pub(crate) peers: gossip::Peers,
     pub(crate) confirmation: confirmation::Confirmation,
+    /// Statement of a leader which shows that this replica is no longer a member.
+    pub(crate) removed_by: Option<(net::SocketAddr, gossip::Group)>,
     /// Entry processes of this coordinator, with their readiness, in the last list that each other
     /// coordinator has acknowledged.
     pub(crate) acked_entries: collections::HashMap<net::SocketAddr, Vec<(follow::Entry, bool)>>,
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -49,8 +49,9 @@
             if status.role == status::Role::Stopped {
                 return Err(io::Error::other("the replica of the registry stopped"));
             }
-            if self.was_removed(&status, now) {
-                self.delete_replica()?;
+            let removed_by = self.operations.soft_state().removed_by.take();
+            if let Some((leader, group)) = removed_by {
+                self.delete_replica(&status, leader, &group)?;
                 return Err(io::Error::other("the replica was removed from its group"));
             }
             self.send_gossip(&status, now, round_number % ROUNDS_PER_BROADCAST == 0);
@@ -138,11 +139,7 @@
             zone: self.settings.zone.clone(),
             replica: status.id,
             is_blank: status.role == status::Role::Blank,
-            leads: is_leader.then(|| gossip::Group {
-                term: status.term,
-                commit: status.commit,
-                members: status.members.members.iter().map(|m| m.id).collect(),
-            }),
+            leads: is_leader.then(|| gossip::Group::of_leader(status)),
         }
     }
 
@@ -172,7 +169,7 @@
 
     fn send_gossip(
         self: &sync::Arc<Rounds>,
-        status: &status::Status,
+        status: &sync::Arc<status::Status>,
         now: clock::Millis,
         is_broadcast: bool,
     ) {
@@ -200,18 +197,20 @@
                 ready_digest: digests.0,
                 peers_digest: digests.1,
             };
-            let rounds = sync::Arc::clone(self);
-            tokio::spawn(async move { rounds.exchange(target, message, entries).await });
+            let (rounds, asked) = (sync::Arc::clone(self), sync::Arc::clone(status));
+            tokio::spawn(async move { rounds.exchange(target, message, entries, &asked).await });
         }
     }
 
     /// Sends a gossip message and merges the reply. `entries` are the entry processes whose last
-    /// sync went to this coordinator when the message was built.
+    /// sync went to this coordinator when the message was built, and `asked` is the status that the
+    /// replica had published then.
     async fn exchange(
         &self,
         target: net::SocketAddr,
         message: gossip::Message,
         entries: Vec<(follow::Entry, bool)>,
+        asked: &status::Status,
     ) {
         let client = &self.operations.client;
         let sent_at = self.operations.clock.now();
@@ -241,7 +240,10 @@
             let proof = confirmation::Proof::of_reply(sent_at, committed);
             soft.confirmation.record(proof);
         }
-        if reply.sender.leads.is_some() {
+        if let Some(group) = &reply.sender.leads {
+            if group.has_removed(asked) {
+                soft.removed_by = Some((target, group.clone()));
+            }
             match &reply.ready {
                 Some(ready) => soft.entries.replace_indirect(now, ready),
                 None => soft.entries.refresh_indirect(now),
@@ -320,23 +322,19 @@
         is_done
     }
 
-    fn was_removed(&self, status: &status::Status, now: clock::Millis) -> bool {
-        if status.role == status::Role::Blank {
-            return false;
-        }
-        let soft = self.operations.soft_state();
-        let mut groups = soft.peers.live(now).filter_map(|peer| peer.leads.as_ref());
-        groups.any(|group| group.has_removed(status.id, status.term, status.last))
-    }
-
     /// Deletes the data of a replica that was removed from its group, so that the process comes
     /// back as a new replica.
-    fn delete_replica(&self) -> io::Result<()> {
+    fn delete_replica(
+        &self,
+        status: &status::Status,
+        leader: net::SocketAddr,
+        group: &gossip::Group,
+    ) -> io::Result<()> {
         let folder = self.settings.data.join(service::GROUP);
-        slog::warn!(
-            self.operations.log,
-            "replica was removed from its group; deleting its data"
-        );
+        slog::warn!(self.operations.log, "replica was removed from its group; deleting its data";
+            "replica" => %status.id, "role" => ?status.role, "term" => status.term.0,
+            "last" => status.last.0, "leader" => %leader, "leader_term" => group.term.0,
+            "leader_commit" => group.commit.0, "members" => ?group.members);
         std::fs::remove_dir_all(folder)
     }
 }
--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -18,15 +18,15 @@
 use tokio::task;
 
 /// Time for an election and for other work that no test measures.
-const WAIT: time::Duration = time::Duration::from_secs(20);
+pub(crate) const WAIT: time::Duration = time::Duration::from_secs(20);
 
-/// Codec of documents that consist of the decimal digits of their version.
+/// Codec of documents that start with the decimal digits of their version and a space.
 struct VersionCodec;
 
 impl config::Codec for VersionCodec {
     fn decode(&self, document: &[u8]) -> Result<config::Config, config::Error> {
         let text = String::from_utf8_lossy(document);
-        let version = text.parse();
+        let version = text.split(' ').next().unwrap_or_default().parse();
         Ok(config::Config {
             version: version.map_err(|_| config::Error::Unreadable(text.into_owned()))?,
             routes: Vec::new(),
@@ -51,10 +51,15 @@
 }
 
 impl Member {
-    fn role(&self) -> status::Role {
+    pub(crate) fn role(&self) -> status::Role {
         self.operations.status().role
     }
 
+    /// Returns whether the coordinator has ended by itself.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Syncs as an entry process that holds the registry up to `index`.
     pub(crate) async fn sync(&self, index: u64) -> follow::SyncReply {
         let entry = follow::Entry {
@@ -140,6 +145,14 @@
         drop(member.task.await);
     }
 
+    /// Stops the member at a position and starts it again at its address with `disk`.
+    pub(crate) async fn restart(&mut self, position: usize, disk: fake::FakeDisk) {
+        let address = self.members[position].address;
+        self.stop(position).await;
+        let member = self.start_member(address, false, disk);
+        self.members.push(member);
+    }
+
     /// Starts a coordinator with an empty disk at a new address.
     pub(crate) fn add(&mut self) {
         let address = self.addresses.next_address();
@@ -156,7 +169,12 @@
 
     /// Replaces the version `base`, through any member, until the change is acknowledged.
     pub(crate) async fn configure(&self, base: u64, version: u64) {
-        let document = version.to_string();
+        self.configure_padded(base, version, "").await;
+    }
+
+    /// Like [`Group::configure`], with a document that ends with `padding`.
+    pub(crate) async fn configure_padded(&self, base: u64, version: u64, padding: &str) {
+        let document = format!("{version} {padding}");
         cluster::eventually(WAIT, &format!("version {version} accepted"), || async {
             for member in &self.members {
                 let changed = member.operations.configure(base, document.as_bytes());
--- a/crates/coordinator/tests/repair.rs
+++ b/crates/coordinator/tests/repair.rs
@@ -46,6 +46,7 @@
         applied: types::Index(5),
         last: types::Index(5),
         members,
+        committed_members: None,
         progress: progress.collect(),
         is_repaired: Some(true),
         quorum_contact_at: None,
--- a/crates/coordinator/tests/replacement.rs
+++ b/crates/coordinator/tests/replacement.rs
@@ -1,5 +1,9 @@
 //! Tests of coordinators that are replaced by others at new addresses.
 
+use nutmegdale_base::rng::{self, Rng};
+use nutmegdale_consensus::status;
+use nutmegdale_storage::fake;
+use nutmegdale_testkit::cluster;
 use std::time;
 
 mod group;
@@ -23,3 +27,41 @@
     }
     group.configure(1, 2).await;
 }
+
+/// Size of the random part of a document, in hexadecimal digits: half of it remains in the log.
+const PADDING_DIGITS_COUNT: usize = 2_800_000;
+/// Number of large documents. With more than 4 MiB of the log, no batch holds all of it.
+const LARGE_VERSIONS: std::ops::RangeInclusive<u64> = 2..=9;
+/// Size of the files at which the disk of a replica that catches up stalls: more than one batch and
+/// less than the log.
+const STALL_BYTES: usize = 7_000_000;
+/// Duration of the stall, in which several rounds of gossip take place.
+const STALL: time::Duration = time::Duration::from_secs(2);
+
+fn padding(rng: &mut rng::SplitMix64) -> String {
+    let words = (0..PADDING_DIGITS_COUNT / 16).map(|_| format!("{:016x}", rng.next_u64()));
+    words.collect()
+}
+
+/// Guards against a replica that deletes its data while it catches up: a statement of the leader
+/// from before its admission names more committed entries than it holds and does not list it.
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_that_catches_up_slowly_keeps_its_data() {
+    let mut group = group::Group::start(3).await;
+    let mut rng = rng::SplitMix64::new(1);
+    for version in LARGE_VERSIONS {
+        let padding = padding(&mut rng);
+        group.configure_padded(version - 1, version, &padding).await;
+    }
+    let disk = fake::FakeDisk::new();
+    disk.stall_beyond(STALL_BYTES);
+    group.restart(group.find(false), disk.clone()).await;
+    let replica = &group.members[2];
+    let is_stalled = || async { disk.is_stalled().then_some(()) };
+    cluster::eventually(group::WAIT, "the log exceeds the disk", is_stalled).await;
+    assert_eq!(replica.role(), status::Role::Learner);
+    tokio::time::sleep(STALL).await;
+    assert!(!replica.has_ended(), "the replica deleted its data");
+    disk.resume();
+    replica.current_index(*LARGE_VERSIONS.end()).await;
+}
--- a/crates/storage/src/fake.rs
+++ b/crates/storage/src/fake.rs
@@ -25,6 +25,7 @@
     syncs_before_fault: Option<u64>,
     sync_count: u64,
     is_stalled: bool,
+    stall_beyond_bytes: Option<usize>,
 }
 
 /// In-memory disk. Clones share its state, so that a test can inject faults while a store owns
@@ -60,6 +61,16 @@
         self.state().is_stalled = true;
     }
 
+    /// Stalls the disk at the first write that would grow the files beyond `size_bytes` in total.
+    pub fn stall_beyond(&self, size_bytes: usize) {
+        self.state().stall_beyond_bytes = Some(size_bytes);
+    }
+
+    /// Returns whether writes and syncs wait.
+    pub fn is_stalled(&self) -> bool {
+        self.state().is_stalled
+    }
+
     /// Ends a stall.
     pub fn resume(&self) {
         self.state().is_stalled = false;
@@ -157,6 +168,13 @@
 }
 
 impl State {
+    /// Returns the size of all files after a write to one of them, in bytes.
+    fn size_after_write(&self, inode: u64, end: usize) -> usize {
+        let used: usize = self.inodes.values().map(|i| i.content.len()).sum();
+        let size = self.inodes.get(&inode).map_or(0, |i| i.content.len());
+        used + end.saturating_sub(size)
+    }
+
     fn inode_of(&mut self, name: &str) -> Option<&mut Inode> {
         let inode = self.names.get(name)?;
         self.inodes.get_mut(inode)
@@ -243,15 +261,20 @@
 
 impl disk::DiskFile for FakeFile {
     fn write_at(&mut self, offset: u64, buf: &[u8]) -> io::Result<()> {
-        let mut state = self.disk.responsive_state();
         let end = offset as usize + buf.len();
-        let used: usize = state.inodes.values().map(|i| i.content.len()).sum();
+        let mut state = self.disk.state();
+        let size = state.size_after_write(self.inode, end);
+        if state.stall_beyond_bytes.is_some_and(|limit| size > limit) {
+            state.stall_beyond_bytes = None;
+            state.is_stalled = true;
+        }
+        drop(state);
+        let mut state = self.disk.responsive_state();
         let capacity = state.capacity_bytes.unwrap_or(usize::MAX);
-        let inode = state.inodes.entry(self.inode).or_default();
-        let grown = end.saturating_sub(inode.content.len());
-        if used + grown > capacity {
+        if state.size_after_write(self.inode, end) > capacity {
             return Err(io::Error::from(io::ErrorKind::StorageFull));
         }
+        let inode = state.inodes.entry(self.inode).or_default();
         if inode.content.len() < end {
             inode.content.resize(end, 0);
         }
