coordinator, gateway: forget lost coordinators, and try each one once before any is tried again

Two causes, which need each other: 1. Coordinators passed on to others what they knew of a third one, stamped with the time at which the report arrived. The delay until the nearest coordinator is tried again ran from the first failure. With more lost coordinators in front than fit into it, the search began anew with the first one each time.

Ruled out: currency of the coordinators (those of other zones answered throughout) and the election (0.8 s after a loss).

Change: coordinators report only those that they have heard of directly, so that a report is one step from the evidence; one without news for 3 s is named to nobody, and is sent gossip for 30 s as before, so that parts of a divided group find each other. Repairs of the group use what a coordinator says of itself, with its age, and no report. In the gateway the choice is a module of its own: each coordinator is tried once before any is tried again, and a failed attempt at a nearer one leads back to the followed one, so that it costs one timeout.

--- a/crates/coordinator/src/gossip.rs
+++ b/crates/coordinator/src/gossip.rs
@@ -22,7 +22,7 @@
     pub announced: Vec<String>,
     /// Digest of the ready entry processes in the sender's table.
     pub ready_digest: u64,
-    /// Digest of the live coordinators in the sender's table.
+    /// Digest of the live coordinators in the sender's table, see [`Peers::digest`].
     pub peers_digest: u64,
 }
 
@@ -31,7 +31,8 @@
 pub struct Reply {
     /// State of the coordinator that sends the reply.
     pub sender: PeerInfo,
-    /// Live coordinators in its table; `None` if the digests agree.
+    /// Coordinators that the sender of the reply has heard of directly; `None` if they are the live
+    /// ones in the other table.
     pub peers: Option<Vec<PeerInfo>>,
     /// Ready entry processes in its table; `None` if the digests agree.
     pub ready: Option<Vec<entries::EntryStatus>>,
@@ -106,8 +107,13 @@
     }
 }
 
-/// Time without news of a coordinator after which it is no longer passed on to others.
-const PEER_EXPIRY_MS: clock::Millis = clock::Millis(30_000);
+/// Time without news of a coordinator after which it no longer counts as live: entry processes are
+/// not told of it, and neither are other coordinators. It exceeds the interval of the rounds, of which
+/// some may be lost, and the timeout of a gossip message.
+const LIVE_MS: clock::Millis = clock::Millis(3_000);
+/// Time without news of a coordinator after which gossip is no longer sent to it. Two parts of the
+/// group that were separated for some seconds find each other again.
+const CONTACT_MS: clock::Millis = clock::Millis(30_000);
 
 /// Entry processes that sync with one coordinator.
 #[derive(Debug)]
@@ -120,14 +126,36 @@
     pub is_known: bool,
 }
 
-/// Age from which the record of a coordinator may be replaced by a third coordinator's report.
-const INDIRECT_UPDATE_MS: clock::Millis = clock::Millis(1_000);
+/// What is known of a coordinator.
+#[derive(Debug)]
+struct Record {
+    info: PeerInfo,
+    /// Time of its last own message.
+    heard_at: Option<clock::Millis>,
+    /// Time of the last report of a coordinator that had heard of it directly.
+    reported_at: Option<clock::Millis>,
+}
+
+impl Record {
+    fn is_heard(&self, now: clock::Millis) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < LIVE_MS)
+    }
+
+    /// Returns whether there was news of the coordinator within the last `limit`.
+    fn has_news(&self, now: clock::Millis, limit: clock::Millis) -> bool {
+        let newest = self.heard_at.max(self.reported_at);
+        newest.is_some_and(|at| now.since(at) < limit)
+    }
+}
 
 /// Table of the coordinators, by their addresses for messages between processes.
+///
+/// Coordinators report to each other only those that they have heard of directly. A report that
+/// passed on what was learned from another report would renew itself between two coordinators after
+/// the end of the third one.
 #[derive(Debug, Default)]
 pub struct Peers {
-    /// State of each coordinator and the time of its last update.
-    peers: collections::BTreeMap<net::SocketAddr, (PeerInfo, clock::Millis)>,
+    peers: collections::BTreeMap<net::SocketAddr, Record>,
     /// Entry processes in the last list that each coordinator sent.
     entries: collections::BTreeMap<net::SocketAddr, Vec<entries::EntryStatus>>,
 }
@@ -135,15 +163,33 @@
 impl Peers {
     /// Records the state that a coordinator reports of itself.
     pub fn update(&mut self, now: clock::Millis, peer: PeerInfo) {
-        self.peers.insert(peer.address, (peer, now));
+        let known = self.peers.get(&peer.address);
+        let record = Record {
+            heard_at: Some(now),
+            reported_at: known.and_then(|record| record.reported_at),
+            info: peer,
+        };
+        self.peers.insert(record.info.address, record);
     }
 
-    /// Records the state of a coordinator that another one reports, unless a recent one is known.
+    /// Records the state of a coordinator that another one has heard of directly.
     pub fn update_indirect(&mut self, now: clock::Millis, peer: PeerInfo) {
-        let known = self.peers.get(&peer.address);
-        let is_recent = known.is_some_and(|(_, updated)| now.since(*updated) < INDIRECT_UPDATE_MS);
-        if !is_recent {
-            self.update(now, peer);
+        let record = self.peers.entry(peer.address).or_insert_with(|| Record {
+            info: peer.clone(),
+            heard_at: None,
+            reported_at: None,
+        });
+        record.reported_at = Some(now);
+        if !record.is_heard(now) {
+            record.info = peer;
+        }
+    }
+
+    /// Records that the leader has heard directly of all coordinators that are live here.
+    pub fn confirm_live(&mut self, now: clock::Millis) {
+        let records = self.peers.values_mut();
+        for record in records.filter(|record| record.has_news(now, LIVE_MS)) {
+            record.reported_at = Some(now);
         }
     }
 
@@ -176,29 +222,51 @@
         entries.any(|status| status.entry.name == name)
     }
 
-    /// Returns a digest of the addresses and zones of the live coordinators.
+    /// Returns a digest of the live coordinators, by which the receiver of a message finds out
+    /// whether they are those that it would report.
     pub fn digest(&self, now: clock::Millis) -> u64 {
-        let live = self.live(now);
-        let locations: Vec<_> = live.map(|peer| (peer.address, &peer.zone)).collect();
-        digest::of(&locations)
+        locations_digest(self.live(now))
     }
 
-    /// Returns every known coordinator, also those that have expired, for repairs of the group.
+    /// Returns the coordinators to report to one whose digest of the live ones is `digest`; `None`
+    /// if it knows them.
+    pub fn report(&self, now: clock::Millis, digest: u64) -> Option<Vec<PeerInfo>> {
+        let heard = || self.select(move |record| record.is_heard(now));
+        (locations_digest(heard()) != digest).then(|| heard().cloned().collect())
+    }
+
+    /// Returns every coordinator that has sent a message of its own, with the age of the last one,
+    /// for repairs of the group. Reports of others are no evidence for a repair.
     pub fn statuses(&self, now: clock::Millis) -> Vec<repair::PeerStatus> {
-        let peers = self.peers.values();
-        let statuses = peers.map(|(peer, updated)| repair::PeerStatus {
-            address: peer.address,
-            replica: peer.replica,
-            is_blank: peer.is_blank,
-            age: now.since(*updated),
+        let heard = self.peers.values().filter_map(|record| {
+            Some(repair::PeerStatus {
+                address: record.info.address,
+                replica: record.info.replica,
+                is_blank: record.info.is_blank,
+                age: now.since(record.heard_at?),
+            })
         });
-        statuses.collect()
+        heard.collect()
     }
 
-    /// Returns the coordinators that have not expired.
+    /// Returns the live coordinators.
     pub fn live(&self, now: clock::Millis) -> impl Iterator<Item = &PeerInfo> {
-        let peers = self.peers.values();
-        let live = peers.filter(move |(_, updated)| now.since(*updated) < PEER_EXPIRY_MS);
-        live.map(|(peer, _)| peer)
+        self.select(move |record| record.has_news(now, LIVE_MS))
     }
+
+    /// Returns the coordinators to send gossip to, also some that may no longer be live.
+    pub fn contacts(&self, now: clock::Millis) -> impl Iterator<Item = &PeerInfo> {
+        self.select(move |record| record.has_news(now, CONTACT_MS))
+    }
+
+    fn select(&self, is_selected: impl Fn(&Record) -> bool) -> impl Iterator<Item = &PeerInfo> {
+        let records = self.peers.values();
+        let selected = records.filter(move |record| is_selected(record));
+        selected.map(|record| &record.info)
+    }
+}
+
+fn locations_digest<'a>(peers: impl Iterator<Item = &'a PeerInfo>) -> u64 {
+    let locations: Vec<_> = peers.map(|peer| (peer.address, &peer.zone)).collect();
+    digest::of(&locations)
 }
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -160,7 +160,7 @@
                 targets.extend(status.members.members.iter().map(|m| m.address));
                 targets.extend(self.seeds.borrow().iter());
                 let soft = self.operations.soft_state();
-                targets.extend(soft.peers.live(now).map(|peer| peer.address));
+                targets.extend(soft.peers.contacts(now).map(|peer| peer.address));
             }
         }
         targets.remove(&own);
@@ -233,8 +233,14 @@
             true => drop(soft.acked_entries.remove(&target)),
             false => drop(soft.acked_entries.insert(target, entries)),
         }
-        for peer in reply.peers.into_iter().flatten() {
-            soft.peers.update_indirect(now, peer);
+        match reply.peers {
+            Some(peers) => {
+                for peer in peers {
+                    soft.peers.update_indirect(now, peer);
+                }
+            }
+            None if reply.sender.leads.is_some() => soft.peers.confirm_live(now),
+            None => {}
         }
         if let Some(committed) = &reply.committed {
             let proof = confirmation::Proof::of_reply(sent_at, committed);
@@ -268,8 +274,7 @@
         }
         soft.peers.update(now, message.sender);
         soft.peers.update(now, sender.clone());
-        let is_same = soft.peers.digest(now) == message.peers_digest;
-        let peers = (!is_same).then(|| soft.peers.live(now).cloned().collect());
+        let peers = soft.peers.report(now, message.peers_digest);
         let ready_differs =
             follow::entries_digest(&soft.entries.ready(now)) != message.ready_digest;
         gossip::Reply {
--- /dev/null
+++ b/crates/coordinator/tests/peers.rs
@@ -0,0 +1,102 @@
+//! Tests of what coordinators know of each other, in virtual time.
+
+use nutmegdale_base::clock;
+use nutmegdale_consensus::types;
+use nutmegdale_coordinator::gossip;
+use std::net;
+
+const ROUND_MS: u64 = 500;
+const LEADER: usize = 0;
+const OTHER: usize = 1;
+const LOST: usize = 2;
+
+fn info(n: usize) -> gossip::PeerInfo {
+    let address = net::SocketAddr::from(([10, 9, 0, n as u8], 1));
+    gossip::PeerInfo {
+        address,
+        public: address,
+        zone: format!("zone-{n}"),
+        replica: types::ReplicaId(n as u64),
+        is_blank: n == LOST,
+        leads: None,
+    }
+}
+
+/// Sends gossip from one coordinator to another and merges the reply.
+fn exchange(tables: &mut [gossip::Peers], from: usize, to: usize, now: clock::Millis) {
+    let digest = tables[from].digest(now);
+    tables[to].update(now, info(from));
+    tables[to].update(now, info(to));
+    match tables[to].report(now, digest) {
+        Some(peers) => {
+            for peer in peers {
+                tables[from].update_indirect(now, peer);
+            }
+        }
+        None if to == LEADER => tables[from].confirm_live(now),
+        None => {}
+    }
+    tables[from].update(now, info(to));
+}
+
+/// Runs rounds of gossip until `end_ms`, in which the last coordinator takes part until `lost_ms`.
+fn run(lost_ms: u64, end_ms: u64) -> Vec<gossip::Peers> {
+    let mut tables = Vec::new();
+    tables.resize_with(3, gossip::Peers::default);
+    for at in (0..end_ms).step_by(ROUND_MS as usize) {
+        let now = clock::Millis(at);
+        tables[LEADER].update(now, info(LEADER));
+        tables[OTHER].update(now, info(OTHER));
+        exchange(&mut tables, OTHER, LEADER, now);
+        // Leaders and followers exchange broadcasts from time to time.
+        if at % (10 * ROUND_MS) == 0 {
+            exchange(&mut tables, LEADER, OTHER, now);
+        }
+        if at < lost_ms {
+            exchange(&mut tables, LOST, LEADER, now);
+        }
+    }
+    tables
+}
+
+fn is_live(table: &gossip::Peers, now: clock::Millis, n: usize) -> bool {
+    table.live(now).any(|peer| peer.address == info(n).address)
+}
+
+/// Guards against entry processes that are told of a lost coordinator for good: two coordinators
+/// that report it to each other renewed its record at each other.
+#[test]
+fn lost_coordinator_is_forgotten_by_all() {
+    const LOST_MS: u64 = 10_000;
+    const END_MS: u64 = LOST_MS + 8_000;
+    let tables = run(LOST_MS, END_MS);
+    for table in &tables[..LOST] {
+        assert!(!is_live(table, clock::Millis(END_MS), LOST));
+    }
+}
+
+/// Guards against lists that lose coordinators in a calm, in which most of them hear of each other
+/// through the leader alone.
+#[test]
+fn coordinators_stay_live_through_the_reports_of_the_leader() {
+    for end_ms in (5_000..30_000).step_by(ROUND_MS as usize) {
+        let now = clock::Millis(end_ms);
+        let tables = run(end_ms, end_ms);
+        assert!((0..3).all(|n| is_live(&tables[OTHER], now, n)), "{end_ms}");
+        assert!((0..3).all(|n| is_live(&tables[LEADER], now, n)), "{end_ms}");
+    }
+}
+
+/// Guards against a repair that acts on the word of a third coordinator, which may be old: admission
+/// of a blank replica, and removal of the member at its address.
+#[test]
+fn repairs_use_what_a_coordinator_says_of_itself() {
+    let mut peers = gossip::Peers::default();
+    peers.update_indirect(clock::Millis(1_000), info(LOST));
+    assert_eq!(peers.statuses(clock::Millis(1_000)), []);
+    peers.update(clock::Millis(2_000), info(LOST));
+    peers.update_indirect(clock::Millis(7_000), info(LOST));
+    let ages: Vec<_> = peers.statuses(clock::Millis(7_500));
+    let ages: Vec<_> = ages.iter().map(|status| status.age).collect();
+    assert_eq!(ages, [clock::Millis(5_500)]);
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,6 +1,6 @@
 //! Keeps the routing table in sync with the registry, by long polling one coordinator at a time.
 
-use crate::{metrics, state, table};
+use crate::{failover, metrics, state, table};
 use nutmegdale_base::{clock, digest};
 use nutmegdale_registry::{config, follow};
 use nutmegdale_rpc::{client, error};
@@ -15,12 +15,6 @@
 const RESPONSE_TIMEOUT_MS: clock::Millis = clock::Millis(400);
 /// Backoff after every coordinator has failed once.
 const BACKOFF_MS: u64 = 100;
-/// Time after a failover after which the nearest coordinator is tried again. After a start it is
-/// often not current for a moment, and syncs with one of another region are billed. The time
-/// doubles with each failed attempt, since an attempt at a silent coordinator costs a timeout.
-const FAILBACK_MIN_MS: clock::Millis = clock::Millis(600);
-/// Longest time after which the nearest coordinator is tried again.
-const FAILBACK_MAX_MS: clock::Millis = clock::Millis(5_000);
 /// Time without a current coordinator after which a response of one that is not current is used,
 /// since outdated data is better than none.
 const STALE_AFTER_MS: clock::Millis = clock::Millis(2_500);
@@ -39,13 +33,7 @@
     coordinators: Vec<follow::Coordinator>,
     /// Time of the last response from a current coordinator.
     last_current: clock::Millis,
-    /// Time of the first failure since the nearest coordinator was last tried; starts the failback
-    /// delay.
-    failover_at: Option<clock::Millis>,
-    /// Time after a failover after which the nearest coordinator is tried again.
-    failback_delay: clock::Millis,
-    /// Index of the current coordinator in the list of targets.
-    target_index: usize,
+    failover: failover::Failover,
     /// Coordinator that gave the last current response.
     followed: Option<net::SocketAddr>,
 }
@@ -69,45 +57,26 @@
             decoded_version: 0,
             coordinators: Vec::new(),
             last_current: now,
-            failover_at: None,
-            failback_delay: FAILBACK_MIN_MS,
-            target_index: 0,
+            failover: failover::Failover::new(),
             followed: None,
         }
     }
 
     /// Follows the registry until the task is aborted.
     pub async fn run(mut self) {
-        let mut failed_count = 0;
         loop {
             let targets = self.targets();
-            let now = self.shared.clock.now();
-            let delay = self.failback_delay;
-            if self.failover_at.is_some_and(|at| now.since(at) >= delay) {
-                self.target_index = 0;
-                self.failover_at = None;
-                self.failback_delay = (delay + delay).min(FAILBACK_MAX_MS);
-            }
-            let index = self.target_index % targets.len().max(1);
-            let is_current = match targets.get(index) {
-                Some(target) => self.sync(*target).await,
-                None => false,
+            let Some(target) = self.failover.next(self.shared.clock.now(), &targets) else {
+                tokio::time::sleep(time::Duration::from_millis(BACKOFF_MS)).await;
+                continue;
             };
+            let is_current = self.sync(target).await;
+            let now = self.shared.clock.now();
             if is_current {
-                failed_count = 0;
-                if index == 0 {
-                    self.failback_delay = FAILBACK_MIN_MS;
-                }
-                continue;
-            }
-            metrics::increment(&self.shared.metrics.syncs_failed);
-            self.target_index = index + 1;
-            let failed_at = self.shared.clock.now();
-            self.failover_at.get_or_insert(failed_at);
-            failed_count += 1;
-            if failed_count >= targets.len() {
-                failed_count = 0;
-                tokio::time::sleep(time::Duration::from_millis(BACKOFF_MS)).await;
+                self.failover.record_success(now, target, &targets);
+            } else {
+                metrics::increment(&self.shared.metrics.syncs_failed);
+                self.failover.record_failure(now, target);
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,8 @@
 //! Gateway: forwards callers' requests to backend servers and returns the responses.
 //!
 //! The path of a request reads one immutable [`table::Table`], published by an atomic pointer swap;
-//! [`follow`] keeps it in sync with the registry. [`proxy`] handles a request from its head to its
+//! [`follow`] keeps it in sync with the registry, through the coordinator that [`failover`] chooses.
+//! [`proxy`] handles a request from its head to its
 //! outcome. `exchange` makes its attempts, including retries and hedges; `hedge_timer` decides when
 //! a hedge is due. [`picker`] applies the decisions of `nutmegdale-dispatch` to pick a server after
 //! the health checks of [`probe`]. Only [`attempt`] writes requests to servers, over connections
@@ -17,6 +18,7 @@
 pub mod dialect;
 pub mod directory;
 mod exchange;
+pub mod failover;
 pub mod follow;
 mod hedge_timer;
 mod in_flight;
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -192,6 +192,26 @@
     assert!(elapsed < time::Duration::from_millis(1_500), "{elapsed:?}");
 }
 
+/// Guards against an entry process that returns to the first of several lost coordinators of its zone
+/// before it has tried the others: it went without a configuration for as long as they were named.
+#[tokio::test]
+async fn entry_process_reaches_a_coordinator_behind_several_silent_ones() {
+    const TIMEOUT_MS: u64 = 900;
+    let (_stop, stopped) = watch::channel(false);
+    let zones = ["zone", "zone", "zone", "zone", "zone", "far"];
+    let coordinators = start(&zones, &stopped).await;
+    let shared = start_gateway(&coordinators, &stopped).await;
+    wait_version(&shared, 1).await;
+    let (far, lost) = coordinators.split_last().expect("a coordinator");
+    for coordinator in lost {
+        coordinator.is_silent.store(true, atomic::Ordering::Relaxed);
+    }
+    far.version.store(2, atomic::Ordering::Relaxed);
+    let elapsed = wait_version(&shared, 2).await;
+    let limit = time::Duration::from_millis((lost.len() as u64 + 1) * TIMEOUT_MS);
+    assert!(elapsed < limit, "{elapsed:?}");
+}
+
 /// Guards against an entry process that stays with the coordinator of its own zone although this
 /// coordinator says that it may have missed changes.
 #[tokio::test]
