gateway: limit the memory of responses in the whole process, and the size of their heads

Report of other operators: a server sent bytes without end; the machine that had called it ran out of memory, and the requests of other clients ended with it. Each connection could hold a head of 400 KB, the default of the HTTP library, and each attempt, hedges included, 1 MiB of a body, which the connection to the caller then held until its timeout.

Change: a connection to a server reads at most 32 KiB ahead, which also limits the head. A body holds 16 KiB; what it holds beyond that, up to 1 MiB as before, comes out of a budget of 24 MiB for the process. Without budget left, the rest of a body is streamed; such a request is not retried once its response has begun. A buffered body leaves the buffer in parts, as its receiver takes them, and is counted until then. Bodies of refusals are read up to 64 KiB. Gauge nutmegdale_buffered_bytes and counter nutmegdale_buffer_budget_exhausted_total. The pool of the product's own path gets the same limit of its read buffer.

Ruled out by the library's own limits: chunk extensions and trailers (16 KiB each), bytes after a complete response (the connection is closed).

Not measured: what the kernel holds of bytes that have not been read.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -16,6 +16,8 @@
 
 /// Most idle connections kept per server.
 const IDLE_MAX_COUNT: usize = 64;
+/// Maximum size of the read buffer of a connection, and so of the head of a response, in bytes.
+const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
 /// Part of a server's connection limit that all entry processes use together, in percent; the rest
 /// is a reserve for entry processes that have started but are not in the directory yet.
 const POOLED_PERCENT: u32 = 90;
@@ -122,7 +124,9 @@
             let stream = TcpStream::connect(self.address).await.ok()?;
             stream.set_nodelay(true).ok()?;
             let io = hyper_util::rt::TokioIo::new(stream);
-            http1::handshake::<_, listen::Body>(io).await.ok()
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(READ_BUFFER_MAX_BYTES);
+            builder.handshake::<_, listen::Body>(io).await.ok()
         };
         let (sender, conn) = connect.await.ok_or(Error::Connect)?;
         tokio::spawn(async move {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::{backend, call, in_flight, interim, metrics, payload, pool, server_traffic, state};
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::{body, header};
 use nutmegdale_base::{clock, outcome};
 use nutmegdale_dispatch::{estimate, health, placement, signal};
@@ -23,6 +24,9 @@
 /// attempt to save a connection.
 const REFUSAL_BODY_MS: clock::Millis = clock::Millis(50);
 
+/// Maximum size of the body of a refusal that is read to keep its connection, in bytes.
+const REFUSAL_BODY_MAX_BYTES: usize = 64 * 1024;
+
 /// Head of a caller's request, shared by its attempts.
 #[derive(Debug, Clone)]
 pub struct Head {
@@ -236,7 +240,7 @@
         }
         let is_valid = !head.status.is_success()
             || (metadata.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
-        match payload::Payload::read(incoming).await {
+        match payload::Payload::read(incoming, &shared.buffer_budget).await {
             Ok(payload) if is_valid => self.answer(in_flight, connection, head, payload),
             _ => broken(in_flight, health::Failure::Answer),
         }
@@ -281,9 +285,9 @@
 /// Reads the body of a refusal, whose head says all there is to know; returns whether it ended soon,
 /// so that its connection can be reused.
 async fn is_short(body: body::Incoming) -> bool {
-    let payload = payload::Payload::read(body);
-    let read = tokio::time::timeout(duration(REFUSAL_BODY_MS), payload).await;
-    matches!(read, Ok(Ok(payload)) if payload.rest.is_none())
+    let body = http_body_util::Limited::new(body, REFUSAL_BODY_MAX_BYTES);
+    let read = tokio::time::timeout(duration(REFUSAL_BODY_MS), body.collect()).await;
+    matches!(read, Ok(Ok(_)))
 }
 
 /// Returns the request for the server, without its body.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,13 +6,14 @@
 //! outcome. `exchange` makes its attempts, including retries and hedges; `hedge_timer` decides when
 //! a hedge is due. [`picker`] applies the decisions of `nutmegdale-dispatch` to pick a server after
 //! the health checks of [`probe`]. Only [`attempt`] writes requests to servers, over connections
-//! from [`pool`]; `in_flight` records what each attempt tells of its server, and [`server_traffic`]
+//! from [`pool`]; [`buffer`] limits the memory of buffered bodies; `in_flight` records what each attempt tells of its server, and [`server_traffic`]
 //! counts bytes. [`directory`] selects the addresses to which callers connect. Header names of a
 //! front end are known only to its [`dialect::Dialect`]. See
 //! [docs/platform.md](../../../docs/platform.md).
 
 pub mod attempt;
 pub mod backend;
+pub mod buffer;
 mod call;
 pub mod decisions;
 pub mod dialect;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -26,6 +26,8 @@
 const CONNECT_TIMEOUT_MS: clock::Millis = clock::Millis(500);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_MS: u64 = 2_000;
+/// Maximum size of the read buffer of a connection, and so of the head of a response, in bytes.
+const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
 /// Maximum number of idle connections in a pool.
 const IDLE_MAX_COUNT: usize = 8;
 
@@ -155,7 +157,9 @@
         // The connection works without this option; requests have their own deadlines.
         drop(socket.set_tcp_user_timeout(Some(unacknowledged)));
         let io = rt::TokioIo::new(stream);
-        let handshake = http1::handshake::<_, listen::Body>(io).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_MAX_BYTES);
+        let handshake = builder.handshake::<_, listen::Body>(io).await;
         let (sender, conn) = handshake.map_err(|_| Error::Connect)?;
         // Connection errors are reported to the request through its `SendRequest`.
         tokio::spawn(async move { drop(conn.await) });
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -150,7 +150,8 @@
         return call.local_response(hyper::StatusCode::PAYLOAD_TOO_LARGE, outcome, None);
     }
     let time_left = time::Duration::from_millis(call.time_left().0);
-    let payload = match tokio::time::timeout(time_left, payload::Payload::read(incoming)).await {
+    let read = payload::Payload::read(incoming, &call.shared.buffer_budget);
+    let payload = match tokio::time::timeout(time_left, read).await {
         Ok(Ok(payload)) => payload,
         Ok(Err(_)) => {
             let outcome = outcome::Outcome::NotRun(outcome::Reason::BadRequest);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,6 @@
 //! State that all tasks of a gateway share.
 
-use crate::{backend, decisions, dialect, metrics, pool, server_traffic, settings, table};
+use crate::{backend, buffer, decisions, dialect, metrics, pool, server_traffic, settings, table};
 use arc_swap::ArcSwap;
 use hyper::header;
 use nutmegdale_admission::bucket;
@@ -43,6 +43,8 @@
     is_ending: watch::Sender<bool>,
     /// Counters of the process.
     pub metrics: metrics::Metrics,
+    /// Memory for buffered bodies.
+    pub buffer_budget: sync::Arc<buffer::Budget>,
     /// Bytes to and from servers.
     pub server_traffic: server_traffic::ServerTraffic,
     /// Log of the decisions on requests.
@@ -88,6 +90,7 @@
             stop_end_ms: atomic::AtomicU64::new(u64::MAX),
             is_ending: watch::channel(false).0,
             metrics: metrics::Metrics::new(),
+            buffer_budget: sync::Arc::default(),
             server_traffic: server_traffic::ServerTraffic::new(),
             decision_log: decisions::DecisionLog::new(dependencies.log.clone()),
             log: dependencies.log,
@@ -117,12 +120,26 @@
     /// Returns the metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> Vec<u8> {
         let confirmed_at = clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Relaxed));
-        let text = self.metrics.text(&[telemetry::Sample {
-            name: "nutmegdale_registry_confirmation_age_ms",
-            help: "Age of the evidence that the routing table has every accepted change.",
-            kind: telemetry::Kind::Gauge,
-            value: self.clock.now().since(confirmed_at).0,
-        }]);
+        let text = self.metrics.text(&[
+            telemetry::Sample {
+                name: "nutmegdale_registry_confirmation_age_ms",
+                help: "Age of the evidence that the routing table has every accepted change.",
+                kind: telemetry::Kind::Gauge,
+                value: self.clock.now().since(confirmed_at).0,
+            },
+            telemetry::Sample {
+                name: "nutmegdale_buffered_bytes",
+                help: "Bytes that bodies hold out of the budget for buffers.",
+                kind: telemetry::Kind::Gauge,
+                value: self.buffer_budget.used_bytes() as u64,
+            },
+            telemetry::Sample {
+                name: "nutmegdale_buffer_budget_exhausted_total",
+                help: "Bodies that were streamed because the budget for buffers was used up.",
+                kind: telemetry::Kind::Counter,
+                value: self.buffer_budget.exhausted_count(),
+            },
+        ]);
         [
             text.into_bytes(),
             self.server_traffic.text(),
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -287,6 +287,26 @@
         self.shared.publish(table);
     }
 
+    /// Adds a service with one server, to which requests for "/other/" go.
+    pub(crate) fn add_other_service(&mut self, address: net::SocketAddr) {
+        let mut route = self.config.routes[0].clone();
+        route.name = "other".to_owned();
+        route.prefix = "/other/".to_owned();
+        route.targets[0].service = "other".to_owned();
+        self.config.routes.push(route);
+        let mut service = self.config.services[0].clone();
+        service.name = "other".to_owned();
+        self.config.services.push(service);
+        let added = registry_of(&[(address, "zone")]).servers;
+        let mut known = added.into_values().next().expect("a server");
+        known.announcement.id = "other".to_owned();
+        known.announcement.service = "other".to_owned();
+        self.copy.servers.insert("other".to_owned(), known);
+        self.config.version += 1;
+        self.copy.version += 1;
+        self.configure();
+    }
+
     /// Sends a request and reads the response, which must be complete.
     pub(crate) async fn send(&self, id: &str) -> CallerResponse {
         self.try_send(id).await.expect("a complete response")
@@ -294,12 +314,21 @@
 
     /// Sends a request and reads the response.
     pub(crate) async fn try_send(&self, id: &str) -> Result<CallerResponse, hyper::Error> {
+        self.try_send_to("/path/x", id).await
+    }
+
+    /// Like [`Harness::try_send`], with the path of the request.
+    pub(crate) async fn try_send_to(
+        &self,
+        path: &str,
+        id: &str,
+    ) -> Result<CallerResponse, hyper::Error> {
         let stream = TcpStream::connect(self.address).await.expect("a gateway");
         let io = rt::TokioIo::new(stream);
         let handshake = hyper::client::conn::http1::handshake(io).await;
         let (mut sender, conn) = handshake.expect("a connection");
         tokio::spawn(conn);
-        let req = hyper::Request::post("/path/x")
+        let req = hyper::Request::post(path)
             .header(header::HOST, "host")
             .header("id", id)
             .body(listen::full("body"))
