--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,13 +5,15 @@
 //! `nutmegdale-replica`; [`confirmation`] holds the evidence of how recent its state is;
 //! [`entries`] is the soft-state table of live entry processes, which
 //! [`gossip`] merges between coordinators; [`repair`] decides which member of the group to admit,
-//! promote or remove and [`service`] starts the coordinator. A front end listens to operators and
+//! promote, demote or remove; `rounds` carries this out and `exchange` sends the gossip; [`service`]
+//! starts the coordinator. A front end listens to operators and
 //! passes in a [`nutmegdale_registry::config::Codec`] that decodes their documents. See
 //! [docs/platform.md](../../../docs/platform.md).
 
 mod calls;
 pub mod confirmation;
 pub mod entries;
+mod exchange;
 pub mod gossip;
 pub mod machine;
 pub mod metrics;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -189,9 +189,7 @@
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.table.load().config_version > 0
     }
-}
 
-impl Shared {
     /// Records a failed request or health check, as named by `source`, and logs the server if the
     /// failure ejects it.
     pub fn record_failure(
@@ -208,9 +206,7 @@
         self.decision_log
             .write_ejection(now, backend, failure, source, ejected_for);
     }
-}
 
-impl Shared {
     /// Records what a response of the server says about its availability.
     pub fn record_availability(
         &self,
