coordinator: ask a blank replica again before the member at its address is removed

Change: the leader asks the process at that address right before the removal, as it does before an admission; log line "blank replica not found" where the answer is another one.

Test: coordinator/tests/replacement outdated_message_of_a_blank_replica_removes_no_member, with such a message sent again and again for 2 s. Before: the follower was removed; after: ok.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -64,6 +64,17 @@
         }
     }
 
+    /// Asks the control process at `address` whether its replica is `id` and belongs to no group yet.
+    pub async fn is_unassigned(
+        &self,
+        group: &str,
+        address: net::SocketAddr,
+        id: types::ReplicaId,
+    ) -> bool {
+        let member = self.fetch_unassigned(group, address).await;
+        member.is_ok_and(|member| member.id == id)
+    }
+
     /// Queries the control process at `address` for its replica, which must not belong to a group
     /// yet, and returns it as a learner.
     async fn fetch_unassigned(
--- a/crates/coordinator/src/repair.rs
+++ b/crates/coordinator/src/repair.rs
@@ -128,6 +128,22 @@
     }
 }
 
+/// Returns the blank replica in whose favour `change` removes the former member at its address.
+///
+/// What the replica said of itself may have been held up on its way while the address changed hands,
+/// so it is asked again right before the removal, which cannot be undone.
+pub fn replaced_by<'a>(
+    change: &message::MemberChange,
+    status: &status::Status,
+    peers: &'a [PeerStatus],
+) -> Option<&'a PeerStatus> {
+    let message::MemberChange::Remove(old) = change else {
+        return None;
+    };
+    let address = status.members.get(*old)?.address;
+    new_replica(status, peers).filter(|new| new.address == address)
+}
+
 fn promotion(status: &status::Status) -> Option<message::MemberChange> {
     let is_learner = |id| status.members.get(id).is_some_and(|m| !m.is_voter);
     let ready = status
@@ -138,13 +154,18 @@
 }
 
 fn admission(status: &status::Status, peers: &[PeerStatus]) -> Option<message::MemberChange> {
-    let members = &status.members;
-    let is_new =
-        |p: &&PeerStatus| p.is_blank && p.age < ALIVE_MS && members.get(p.replica).is_none();
-    let new = peers.iter().find(is_new)?;
-    let old = members.members.iter().find(|m| m.address == new.address);
+    let new = new_replica(status, peers)?;
+    let members = &status.members.members;
+    let old = members.iter().find(|m| m.address == new.address);
     Some(match old {
         Some(old) => message::MemberChange::Remove(old.id),
         None => message::MemberChange::Admit(new.address),
     })
 }
+
+/// Returns a live replica that belongs to no group yet.
+fn new_replica<'a>(status: &status::Status, peers: &'a [PeerStatus]) -> Option<&'a PeerStatus> {
+    let is_new =
+        |p: &&PeerStatus| p.is_blank && p.age < ALIVE_MS && status.members.get(p.replica).is_none();
+    peers.iter().find(is_new)
+}
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -136,6 +136,12 @@
             let Some(change) = repair.next_change(now, &status, &peers, target_count) else {
                 return;
             };
+            let replaced_by = repair::replaced_by(&change, &status, &peers);
+            if let Some(new) = replaced_by
+                && !self.is_still_blank(new).await
+            {
+                return;
+            }
             if !self.change_member(change, &status).await {
                 return;
             }
@@ -143,6 +149,18 @@
         }
     }
 
+    /// Asks a replica that said that it belongs to no group whether this still holds.
+    async fn is_still_blank(&self, peer: &repair::PeerStatus) -> bool {
+        let (address, id) = (peer.address, peer.replica);
+        let is_blank = self.host.is_unassigned(service::GROUP, address, id);
+        let is_blank = is_blank.await;
+        if !is_blank {
+            slog::info!(self.operations.log, "blank replica not found"; "coordinator" => %address,
+                "replica" => %id, "age_ms" => peer.age.0);
+        }
+        is_blank
+    }
+
     /// Requests a membership change; returns whether it is committed.
     async fn change_member(&self, change: message::MemberChange, status: &status::Status) -> bool {
         self.operations.metrics.repairs.inc();
--- a/crates/coordinator/tests/replacement.rs
+++ b/crates/coordinator/tests/replacement.rs
@@ -1,7 +1,10 @@
 //! Tests of coordinators that are replaced by others at new addresses.
 
+use nutmegdale_base::clock;
 use nutmegdale_base::rng::{self, Rng};
-use nutmegdale_consensus::status;
+use nutmegdale_consensus::{status, types};
+use nutmegdale_coordinator::gossip;
+use nutmegdale_rpc::{client, error};
 use nutmegdale_storage::fake;
 use nutmegdale_testkit::cluster;
 use std::time;
@@ -65,3 +68,44 @@
     disk.resume();
     replica.current_index(*LARGE_VERSIONS.end()).await;
 }
+
+/// Time for which an outdated message arrives again and again; the leader repairs the group twice a
+/// second.
+const REPEATED_FOR: time::Duration = time::Duration::from_secs(2);
+
+/// Guards against the removal of a working member on an outdated word: a message of a blank replica
+/// that ran at its address before, held up on its way.
+#[tokio::test(flavor = "multi_thread")]
+async fn outdated_message_of_a_blank_replica_removes_no_member() {
+    let group = group::Group::start(3).await;
+    let (leader, follower) = (
+        &group.members[group.find(true)],
+        &group.members[group.find(false)],
+    );
+    let message = gossip::Message {
+        sender: gossip::PeerInfo {
+            address: follower.address,
+            public: follower.address,
+            zone: "zone".to_owned(),
+            replica: types::ReplicaId(99),
+            is_blank: true,
+            leads: None,
+        },
+        entries: None,
+        announced: Vec::new(),
+        ready_digest: 0,
+        peers_digest: 0,
+    };
+    let client = client::Client::new("token");
+    let members_before = leader.operations.status().members.clone();
+    let start = time::Instant::now();
+    while start.elapsed() < REPEATED_FOR {
+        let timeout = clock::Millis(1_000);
+        let call = client.call_compact(leader.address, "gossip-confirmed", &message, timeout);
+        let reply: error::Result<gossip::Reply> = call.await;
+        reply.expect("a reply");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    assert_eq!(leader.operations.status().members, members_before);
+    assert!(!follower.has_ended(), "the follower deleted its data");
+}
