--- a/crates/coordinator/src/gossip.rs
+++ b/crates/coordinator/src/gossip.rs
@@ -193,6 +193,14 @@
         }
     }
 
+    /// Removes coordinators to which no gossip is sent any more, and their lists of entry processes.
+    pub fn expire(&mut self, now: clock::Millis) {
+        self.peers
+            .retain(|_, record| record.has_news(now, CONTACT_MS));
+        self.entries
+            .retain(|address, _| self.peers.contains_key(address));
+    }
+
     /// Updates the entry processes of the sender of `message` and returns them.
     pub fn update_entries(&mut self, message: &mut Message) -> PeerEntries<'_> {
         let address = message.sender.address;
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Expires entry processes and updates the gauges.
+    /// Expires entry processes and coordinators, and updates the gauges.
     fn update_metrics(&self, status: &status::Status, now: clock::Millis) {
         let metrics = &self.operations.metrics;
         metrics
@@ -93,6 +93,7 @@
             .set(age.map_or(-1, |age| gauge(age.0)));
         let mut soft = self.operations.soft_state();
         soft.entries.expire(now);
+        soft.peers.expire(now);
         let entries = soft.entries.ready(now).len();
         metrics.entries.set(entries as i64);
     }
--- a/crates/coordinator/tests/peers.rs
+++ b/crates/coordinator/tests/peers.rs
@@ -2,7 +2,8 @@
 
 use nutmegdale_base::clock;
 use nutmegdale_consensus::types;
-use nutmegdale_coordinator::gossip;
+use nutmegdale_coordinator::{entries, gossip};
+use nutmegdale_registry::follow;
 use std::net;
 
 const ROUND_MS: u64 = 500;
@@ -100,3 +101,39 @@
     let ages: Vec<_> = ages.iter().map(|status| status.age).collect();
     assert_eq!(ages, [clock::Millis(5_500)]);
 }
+
+/// Guards against a table that grows with every replaced VM, and against the list of a lost
+/// coordinator that keeps its entry processes from being reported as gone for good.
+#[test]
+fn lost_coordinators_and_their_lists_are_removed() {
+    let mut peers = gossip::Peers::default();
+    let start = clock::Millis(1_000);
+    let entry = entries::EntryStatus {
+        entry: follow::Entry {
+            name: "entry".to_owned(),
+            address: info(LOST).address,
+            zone: "zone".to_owned(),
+            region: "region".to_owned(),
+        },
+        is_ready: true,
+        age: clock::Millis::ZERO,
+    };
+    let message = |n, entries: &[entries::EntryStatus]| gossip::Message {
+        sender: info(n),
+        entries: Some(entries.to_vec()),
+        announced: Vec::new(),
+        ready_digest: 0,
+        peers_digest: 0,
+    };
+    for n in [OTHER, LOST] {
+        peers.update(start, info(n));
+        let reported = peers.update_entries(&mut message(n, std::slice::from_ref(&entry)));
+        assert!(reported.gone.is_empty());
+    }
+    let later = start + clock::Millis(40_000);
+    peers.update(later, info(OTHER));
+    peers.expire(later);
+    assert_eq!(peers.statuses(later).len(), 1);
+    let reported = peers.update_entries(&mut message(OTHER, &[]));
+    assert_eq!(reported.gone, ["entry"]);
+}
