--- a/crates/coordinator/src/repair.rs
+++ b/crates/coordinator/src/repair.rs
@@ -33,7 +33,7 @@
     pub replica: types::ReplicaId,
     /// Whether its replica belongs to no group yet.
     pub is_blank: bool,
-    /// Time since its state was last reported.
+    /// Time since its last own message.
     pub age: clock::Millis,
 }
 
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt;
 use nutmegdale_base::{class, clock};
 use nutmegdale_dispatch::{budget, cold, estimate, health};
-use nutmegdale_gateway::{dialect, pool, proxy, settings, state, table};
+use nutmegdale_gateway::{buffer, dialect, pool, proxy, settings, state, table};
 use nutmegdale_registry::{config, follow, server as registry};
 use nutmegdale_rpc::listen;
 use nutmegdale_telemetry::{clock as telemetry_clock, log};
@@ -230,6 +230,11 @@
         self.shared.end_requests();
     }
 
+    /// Returns the memory for buffered bodies.
+    pub(crate) fn buffer_budget(&self) -> &sync::Arc<buffer::Budget> {
+        &self.shared.buffer_budget
+    }
+
     /// Returns the address for callers.
     pub(crate) fn address(&self) -> net::SocketAddr {
         self.address
