--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -18,7 +18,7 @@
 #[derive(Debug, Default)]
 pub struct Budget {
     used_bytes: atomic::AtomicUsize,
-    /// Bodies that were streamed because no budget was left.
+    /// Times that a body found no budget left.
     exhausted_count: atomic::AtomicU64,
 }
 
@@ -33,7 +33,7 @@
         self.used_bytes.load(atomic::Ordering::Relaxed)
     }
 
-    /// Returns how many bodies found no budget left.
+    /// Returns how often a body found no budget left.
     pub fn exhausted_count(&self) -> u64 {
         self.exhausted_count.load(atomic::Ordering::Relaxed)
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -135,7 +135,7 @@
             },
             telemetry::Sample {
                 name: "nutmegdale_buffer_budget_exhausted_total",
-                help: "Bodies that were streamed because the budget for buffers was used up.",
+                help: "Times that a body found the budget for buffers used up.",
                 kind: telemetry::Kind::Counter,
                 value: self.buffer_budget.exhausted_count(),
             },
