--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -37,6 +37,7 @@
                 header_timeout: clock::Millis(3_000),
                 idle_timeout: clock::Millis(15_000),
             },
+            accounts: None,
         })
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -26,6 +26,8 @@
     pub(crate) route: &'a table::Route,
     /// Name of the service that the route chose.
     pub(crate) service_name: String,
+    /// Priority of the request; 0 is the most urgent.
+    pub(crate) priority: u32,
     /// Head, without hop-by-hop headers.
     pub(crate) head: attempt::Head,
     /// Body, which is buffered up to a limit.
@@ -41,6 +43,7 @@
     route: &'a table::Route,
     /// Service of all attempts.
     service_name: String,
+    priority: u32,
     head: sync::Arc<attempt::Head>,
     /// Whether the request may be sent again although an earlier attempt may have run.
     is_retryable: bool,
@@ -122,6 +125,7 @@
         Exchange {
             route: request.route,
             service_name: request.service_name,
+            priority: request.priority,
             head: sync::Arc::new(request.head),
             is_retryable: is_idempotent && request.payload.rest.is_none(),
             payload: Some(request.payload),
@@ -274,6 +278,7 @@
             profile,
             estimate: &self.route.estimate,
             home_regions: &self.route.spec.home_regions,
+            priority: self.priority,
             tried: &self.tried,
             time_left: self.time_left(call),
             is_trial: self.is_trial,
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -28,6 +28,8 @@
     pub estimate: &'a estimate::Estimate,
     /// Regions to which it is restricted; empty if it is not.
     pub home_regions: &'a [String],
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u32,
     /// Servers to which the request was sent before; they are excluded.
     pub tried: &'a [sync::Arc<backend::Backend>],
     /// Time until its latency target and its deadline.
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -176,6 +176,7 @@
     let request = exchange::Request {
         route,
         service_name: service.spec.name.clone(),
+        priority: route.spec.priority,
         head,
         payload,
         waited_before: route.estimate.infer_elapsed_wait(timeout),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,9 @@
 
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{budget, cold, placement};
+use nutmegdale_quota::gate;
 use nutmegdale_registry::follow;
+use nutmegdale_rollout::bound;
 use std::collections;
 
 /// Settings of a gateway.
@@ -18,6 +20,29 @@
     pub cluster_token: String,
     /// Maximum number of open connections from callers.
     pub connections_max_count: usize,
+    /// Features that this deployment asks for.
+    pub features: Features,
+}
+
+/// Features that only some deployments ask for; without them no step is added to the path of a
+/// request.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Features {
+    /// Roll-outs of software versions.
+    pub rollouts: Option<bound::Bound>,
+    /// Client accounts.
+    pub accounts: Option<Accounts>,
+    /// Limits of client accounts over all processes.
+    pub quotas: Option<gate::Bound>,
+}
+
+/// Bounds on the use of account keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Accounts {
+    /// Time after the acknowledgement of its withdrawal from which a key is accepted nowhere, not
+    /// even by processes that cannot reach a coordinator; `None` if only processes that can are
+    /// bound.
+    pub revocation: Option<clock::Millis>,
 }
 
 /// Limits that apply to all processes together.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
 use nutmegdale_admission::bucket;
 use nutmegdale_base::{clock, rng};
 use nutmegdale_dispatch::health;
+use nutmegdale_quota::gate;
 use nutmegdale_registry::config;
 use nutmegdale_rpc::client;
 use nutmegdale_telemetry::metrics as telemetry;
@@ -25,6 +26,8 @@
     pub dialect: sync::Arc<dyn dialect::Dialect>,
     /// Decoder of configuration documents.
     pub codec: sync::Arc<dyn config::Codec>,
+    /// Limits of client accounts.
+    pub quota_gate: sync::Arc<dyn gate::Gate>,
     /// Current routing table, replaced by read-copy-update.
     pub table: ArcSwap<table::Table>,
     is_configured: watch::Sender<bool>,
@@ -82,6 +85,7 @@
             clock: dependencies.clock,
             dialect: dependencies.dialect,
             codec: dependencies.codec,
+            quota_gate: sync::Arc::new(gate::Open),
             table: ArcSwap::from_pointee(initial),
             is_configured: watch::channel(false).0,
             confirmed_at_ms: atomic::AtomicU64::new(0),
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -444,6 +444,7 @@
         },
         cluster_token: "token".to_owned(),
         connections_max_count: 100,
+        features: settings::Features::default(),
     }
 }
 
@@ -464,6 +465,7 @@
             }],
             attempts_max: 2,
             home_regions: Vec::new(),
+            is_public: false,
         }],
         services: vec![config::Service {
             name: "service".to_owned(),
@@ -478,5 +480,6 @@
             header_timeout: clock::Millis(3_000),
             idle_timeout: clock::Millis(15_000),
         },
+        accounts: None,
     }
 }
--- a/crates/registry/src/config.rs
+++ b/crates/registry/src/config.rs
@@ -1,6 +1,7 @@
 //! Configuration of a deployment, submitted by operators as one document.
 
 use displaydoc::Display;
+use nutmegdale_accounts::account;
 use nutmegdale_base::{class, clock};
 use std::collections;
 
@@ -39,6 +40,8 @@
     pub attempts_max: u32,
     /// Regions that may serve the route; empty if all may.
     pub home_regions: Vec<String>,
+    /// Whether its requests need no account.
+    pub is_public: bool,
 }
 
 /// Service: the set of backend servers that handle the same requests.
@@ -80,6 +83,8 @@
     pub services: Vec<Service>,
     /// Limits of the listeners for callers.
     pub listeners: Listeners,
+    /// Client accounts; `None` if callers are not identified.
+    pub accounts: Option<Vec<account::Account>>,
 }
 
 /// Reason why a configuration is invalid.
@@ -111,6 +116,14 @@
     InvalidPrefix(String),
     /// two services have the name {0:?}
     DuplicateService(String),
+    /// two accounts have the name {0:?}
+    DuplicateAccount(String),
+    /// the account {0:?} has a key that another account has
+    SharedKey(String),
+    /// the account {0:?} has an empty key
+    EmptyKey(String),
+    /// the limit of account {0:?} is not a number or is negative
+    InvalidLimit(String),
 }
 
 impl std::error::Error for Error {}
--- a/crates/registry/tests/config.rs
+++ b/crates/registry/tests/config.rs
@@ -18,6 +18,7 @@
         }],
         attempts_max: 2,
         home_regions: Vec::new(),
+        is_public: false,
     }
 }
 
@@ -38,6 +39,7 @@
             header_timeout: clock::Millis(3_000),
             idle_timeout: clock::Millis(15_000),
         },
+        accounts: None,
     })
 }
 
