accounts, gateway, registry, platform: identify callers by their keys on every path

Cause: configurations may list client accounts, but requests of any caller were passed on unchecked, with whatever account they claimed.

Change: the index of accounts is built once per version of the configuration. A request is identified on arrival and again right before each send, on a copy whose age is limited by a lease; servers get the account's name and never the key. The account's priority and home regions go before the route's, and accounts with a limit take a token from the quota gate. Configurations with shared or empty keys, or with unusable names, are invalid, and no error of the decoder quotes a key. Evidence of the age of the table is read before the table and with acquire/release ordering, since a decision must not pair an old table with newer evidence.

Ruled out: asking a coordinator for each unknown key, since anybody could load the coordinators; a check on arrival only, since a request may wait for its body for seconds.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,14 +1,17 @@
 //! Sends one request to one server and reads the response.
 //!
-//! Invariants: a request is written only while the server accepts requests, which is checked after
-//! the connection is established; an attempt is `NotRun` only if no byte of it was written or the
+//! Invariants: a request is written only while the server accepts requests and the caller's key is
+//! valid, which is checked after the connection is established; an attempt is `NotRun` only if no byte of it was written or the
 //! server states that it did not run it; a response is forwarded only if it belongs to this request
 //! and, up to the buffering limit, only once it is complete.
 
-use crate::{backend, call, in_flight, interim, metrics, payload, pool, server_traffic, state};
+use crate::{
+    backend, call, caller, in_flight, interim, metrics, payload, pool, server_traffic, state,
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{body, header};
+use nutmegdale_accounts::identify;
 use nutmegdale_base::{clock, outcome};
 use nutmegdale_dispatch::{estimate, health, placement, signal};
 use nutmegdale_rpc::listen;
@@ -49,6 +52,8 @@
     pub request_id: sync::Arc<str>,
     /// Body of the request.
     pub payload: payload::Payload,
+    /// Key of the caller, which is checked before the send; `None` if it needs none.
+    pub identity: Option<caller::Identity>,
     /// Whether the request must not be sent twice.
     pub is_one_time: bool,
     /// Time at which the attempt is abandoned.
@@ -83,6 +88,8 @@
     Answered(Response),
     /// The request did not run on this server. The flag is true if it was written to the server.
     NotRun(outcome::Reason, bool),
+    /// The request was not written, since it cannot be shown that its caller's key is valid.
+    Refused(identify::Refusal),
     /// The request may have run.
     Unknown(outcome::Reason),
 }
@@ -114,6 +121,17 @@
     if !attempt.backend.accepts(in_flight.now()) {
         return AttemptResult::NotRun(outcome::Reason::NoServer, false);
     }
+    if let Some(identity) = &attempt.identity
+        && let Err(refusal) = identity.confirm(shared)
+    {
+        state::checkin(
+            &attempt.backend,
+            in_flight.now(),
+            connection,
+            &header::HeaderMap::new(),
+        );
+        return AttemptResult::Refused(refusal);
+    }
     in_flight.is_written = true;
     metrics::increment(&shared.metrics.sends);
     let round_trip = round_trip(shared, &mut in_flight, connection, attempt, time_left);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,6 +2,7 @@
 
 use crate::{decisions, state};
 use hyper::header;
+use nutmegdale_accounts::account;
 use nutmegdale_base::{clock, outcome};
 use nutmegdale_rpc::listen;
 use std::sync;
@@ -15,6 +16,8 @@
     pub(crate) started: clock::Millis,
     pub(crate) deadline: clock::Millis,
     pub(crate) request_id: sync::Arc<str>,
+    /// Client account of the caller, once it is identified.
+    pub(crate) account: Option<sync::Arc<account::Account>>,
     pub(crate) trace: decisions::Trace,
 }
 
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -86,6 +86,8 @@
     pub request_id: &'a str,
     /// Name of the route; empty if none matched.
     pub route: &'a str,
+    /// Name of the client account, if the caller was identified.
+    pub account: Option<&'a str>,
     /// Class of the route, if one matched.
     pub class: Option<class::Class>,
     /// Version of the configuration.
@@ -106,6 +108,22 @@
     pub trace: &'a Trace,
 }
 
+/// Log field with the name of an account; lines of other requests have no such field.
+struct AccountField<'a>(Option<&'a str>);
+
+impl slog::KV for AccountField<'_> {
+    fn serialize(
+        &self,
+        _record: &slog::Record<'_>,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        match self.0 {
+            Some(name) => serializer.emit_str("account", name),
+            None => Ok(()),
+        }
+    }
+}
+
 impl DecisionLog {
     /// Creates a log that writes to `log`.
     pub fn new(log: slog::Logger) -> DecisionLog {
@@ -130,6 +148,7 @@
         slog::info!(self.log, "request decided";
             "request_id" => record.request_id,
             "route" => record.route,
+            AccountField(record.account),
             "class" => record.class.map_or("", class::Class::name),
             "version" => record.config_version,
             "index" => record.registry_index,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,6 +1,7 @@
 //! Interface between the gateway and the header names of a front end.
 
 use hyper::header;
+use nutmegdale_accounts::key;
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::signal;
 
@@ -42,6 +43,14 @@
     /// Parses the head of a request.
     fn parse_request<'a>(&self, headers: &'a header::HeaderMap) -> Request<'a>;
 
+    /// Returns the key that a request presents. It is called only if the configuration has accounts.
+    fn parse_key<'a>(&self, headers: &'a header::HeaderMap) -> key::Presented<'a>;
+
+    /// Removes the key and every account name that the caller stated, in any spelling that a server
+    /// may take for them, and adds the name of the account, if there is one. It is called only if
+    /// the configuration has accounts.
+    fn replace_account(&self, headers: &mut header::HeaderMap, account: Option<&str>);
+
     /// Adds the headers for a server to a request: the identifier of the expected server, so that
     /// another server at its address rejects the request, and the time left.
     fn prepare_request(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,12 +4,14 @@
 //! written to another server only if the last one stated that it did not run it; retries and hedges
 //! stay within the retry budget of their service.
 
-use crate::{attempt, backend, call, hedge_timer, metrics, payload, picker, state, table};
+use crate::{attempt, backend, call, caller, hedge_timer, metrics, payload, picker, state, table};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use nutmegdale_accounts::identify;
 use nutmegdale_base::{class, clock, outcome};
 use nutmegdale_dispatch::{admission, budget, hedge, placement};
 use nutmegdale_entry::head;
+use std::borrow;
 use std::pin;
 use std::sync;
 use std::time;
@@ -28,6 +30,10 @@
     pub(crate) service_name: String,
     /// Priority of the request; 0 is the most urgent.
     pub(crate) priority: u32,
+    /// Regions to which route and account restrict it; empty if they do not.
+    pub(crate) home_regions: borrow::Cow<'a, [String]>,
+    /// Key of the caller, which is checked again before each send; `None` if it needs none.
+    pub(crate) identity: Option<caller::Identity>,
     /// Head, without hop-by-hop headers.
     pub(crate) head: attempt::Head,
     /// Body, which is buffered up to a limit.
@@ -44,6 +50,8 @@
     /// Service of all attempts.
     service_name: String,
     priority: u32,
+    home_regions: borrow::Cow<'a, [String]>,
+    identity: Option<caller::Identity>,
     head: sync::Arc<attempt::Head>,
     /// Whether the request may be sent again although an earlier attempt may have run.
     is_retryable: bool,
@@ -57,6 +65,8 @@
     /// Reason why it is unknown whether an attempt ran.
     unknown_reason: Option<outcome::Reason>,
     rejection: Option<picker::Rejection>,
+    /// Why the last attempt was not sent for its caller.
+    refusal: Option<identify::Refusal>,
     is_hedged: bool,
     hedge_tries_count: u32,
     /// Estimated time that the caller spent on earlier tries before it sent this request.
@@ -126,6 +136,8 @@
             route: request.route,
             service_name: request.service_name,
             priority: request.priority,
+            home_regions: request.home_regions,
+            identity: request.identity,
             head: sync::Arc::new(request.head),
             is_retryable: is_idempotent && request.payload.rest.is_none(),
             payload: Some(request.payload),
@@ -134,6 +146,7 @@
             fallback: None,
             unknown_reason: None,
             rejection: None,
+            refusal: None,
             is_hedged: false,
             hedge_tries_count: 0,
             waited_before: request.waited_before,
@@ -181,13 +194,16 @@
     }
 
     /// Returns the final response once no attempt is in flight.
-    fn finish(self, call: &call::Call<'_>) -> call::FinalResponse {
+    fn finish(self, call: &mut call::Call<'_>) -> call::FinalResponse {
         if let Some(response) = self.fallback {
             return forward(response);
         }
         if let Some(reason) = self.unknown_reason {
             return call.unknown(reason);
         }
+        if let Some(refusal) = self.refusal {
+            return caller::refuse(call, refusal);
+        }
         let (reason, retry_after) = match self.rejection {
             Some(rejection) => (rejection.reason, Some(rejection.retry_after)),
             None => (outcome::Reason::NoServer, None),
@@ -277,7 +293,7 @@
             service_index: target.service_index,
             profile,
             estimate: &self.route.estimate,
-            home_regions: &self.route.spec.home_regions,
+            home_regions: &self.home_regions,
             priority: self.priority,
             tried: &self.tried,
             time_left: self.time_left(call),
@@ -411,6 +427,7 @@
             head: sync::Arc::clone(&self.head),
             request_id: sync::Arc::clone(&call.request_id),
             payload,
+            identity: self.identity.clone(),
             is_one_time: !self.route.spec.class.is_idempotent(),
             deadline: call.deadline,
             prediction: picked.prediction,
@@ -451,6 +468,11 @@
                 self.rejection = Some(picker::Rejection::new(reason, self.retry_after(call)));
                 self.retry_or_wait(is_last)
             }
+            attempt::AttemptResult::Refused(refusal) => {
+                self.on_unwritten();
+                self.refusal = Some(refusal);
+                Step::Wait
+            }
             attempt::AttemptResult::Unknown(reason) => {
                 call.trace.push_event(call.elapsed(), reason.name());
                 self.unknown_reason = Some(reason);
@@ -467,7 +489,7 @@
         let table = call.shared.table.load();
         let mut services = table.services.iter();
         let service = services.find(|service| service.spec.name == self.service_name);
-        let home_regions = &self.route.spec.home_regions;
+        let home_regions = &self.home_regions;
         let backoff_left = service.and_then(|service| {
             picker::backoff_left(service, home_regions, call.shared.clock.now())
         });
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,7 +2,7 @@
 
 use crate::{failover, metrics, state, table};
 use nutmegdale_base::{clock, digest};
-use nutmegdale_registry::{config, follow};
+use nutmegdale_registry::{config, document, follow};
 use nutmegdale_rpc::{client, error};
 use std::net;
 use std::sync;
@@ -148,10 +148,7 @@
         let confirmed_at = reply
             .confirmation_age
             .map(|age| clock::Millis(sent_at.since(age).0));
-        self.apply(now, update, target);
-        if let Some(at) = confirmed_at {
-            self.shared.record_confirmation(at);
-        }
+        self.apply(now, update, target, confirmed_at);
         is_current
     }
 
@@ -183,9 +180,22 @@
     }
 
     /// Applies the changes of a reply and publishes a new table if there were any.
-    fn apply(&mut self, now: clock::Millis, update: follow::SyncUpdate, source: net::SocketAddr) {
+    ///
+    /// The changes of a configuration that cannot be decoded are not in the table, so nothing is
+    /// confirmed then.
+    fn apply(
+        &mut self,
+        now: clock::Millis,
+        update: follow::SyncUpdate,
+        source: net::SocketAddr,
+        confirmed_at: Option<clock::Millis>,
+    ) {
         let confirmation_age = update.reply.confirmation_age;
+        let is_decoded = |follower: &Follower| follower.copy.version == follower.decoded_version;
         if !self.copy.apply_update(now, update) {
+            if let Some(at) = confirmed_at.filter(|_| is_decoded(self)) {
+                self.shared.record_confirmation(at);
+            }
             return;
         }
         if self.copy.version != self.decoded_version {
@@ -201,13 +211,18 @@
                 }
             }
         }
+        if is_decoded(self) {
+            // The document holds keys, and nothing else reads it.
+            self.copy.document = document::Document::default();
+        }
         let table = self.builder.build(now, &self.copy, self.config.as_ref());
         slog::info!(self.shared.log, "registry taken up"; "coordinator" => %source,
             "index" => table.registry_index, "version" => table.config_version,
             "servers" => table.servers_count(), "entries" => table.entries.len(),
             "zones_out" => ?self.copy.zones_out,
             "age_ms" => confirmation_age.map(|age| age.0));
-        self.shared.publish(table);
+        let confirmed_at = confirmed_at.filter(|_| is_decoded(self));
+        self.shared.publish_confirmed(table, confirmed_at);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! The path of a request reads one immutable [`table::Table`], published by an atomic pointer swap;
 //! [`follow`] keeps it in sync with the registry, through the coordinator that [`failover`] chooses.
 //! [`proxy`] handles a request from its head to its
-//! outcome. `exchange` makes its attempts, including retries and hedges; `hedge_timer` decides when
+//! outcome; [`caller`] identifies whose request it is. `exchange` makes its attempts, including retries and hedges; `hedge_timer` decides when
 //! a hedge is due. [`picker`] applies the decisions of `nutmegdale-dispatch` to pick a server after
 //! the health checks of [`probe`]. Only [`attempt`] writes requests to servers, over connections
 //! from [`pool`]; [`buffer`] limits the memory of buffered bodies; `in_flight` records what each attempt tells of its server, and [`server_traffic`]
@@ -15,6 +15,7 @@
 pub mod backend;
 pub mod buffer;
 mod call;
+pub mod caller;
 pub mod decisions;
 pub mod dialect;
 pub mod directory;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -1,6 +1,6 @@
 //! Request path: handles a caller's request from its head to its outcome.
 
-use crate::{attempt, call, decisions, exchange, payload, state, table};
+use crate::{attempt, call, caller, decisions, exchange, payload, state, table};
 use hyper::{body, header};
 use nutmegdale_base::{clock, outcome};
 use nutmegdale_entry::head;
@@ -55,6 +55,8 @@
             .wait_configured(CONFIG_WAIT_MAX_MS.min(clock::Millis(timeout.0 / 3)))
             .await;
     }
+    // Read first: the table may only be newer than its evidence.
+    let confirmed_at = shared.confirmed_at();
     let table = shared.table.load_full();
     let host = req.headers().get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
@@ -65,6 +67,7 @@
         started,
         deadline: started + clock::Millis(limit.since(call::DEADLINE_MARGIN_MS).0),
         request_id: metadata.request_id.unwrap_or("").into(),
+        account: None,
         trace: decisions::Trace::default(),
     };
     let final_response = match route {
@@ -76,7 +79,22 @@
             let outcome = outcome::Outcome::NotRun(outcome::Reason::NoRoute);
             call.local_response(hyper::StatusCode::NOT_FOUND, outcome, None)
         }
-        Some(route) => forward(&mut call, &table, route, req, timeout).await,
+        Some(route) => {
+            let arrival = caller::Arrival {
+                table: &table,
+                route: &route.spec,
+                headers: req.headers(),
+                confirmed_at,
+            };
+            match caller::admit(&mut call, arrival).await {
+                Ok(caller) => {
+                    let response = forward(&mut call, &table, route, req, timeout, &caller).await;
+                    caller.settle(shared, response.outcome);
+                    response
+                }
+                Err(refused) => refused,
+            }
+        }
     };
     finish(
         &call,
@@ -111,6 +129,7 @@
     let record = decisions::Record {
         request_id: &call.request_id,
         route: route.map_or("", |route| &route.name),
+        account: call.account.as_ref().map(|account| account.name.as_str()),
         class,
         config_version: table.config_version,
         registry_index: table.registry_index,
@@ -139,6 +158,7 @@
     route: &table::Route,
     req: hyper::Request<body::Incoming>,
     timeout: clock::Millis,
+    caller: &caller::Caller<'_>,
 ) -> call::FinalResponse {
     let (parts, incoming) = req.into_parts();
     let body_max_bytes = table
@@ -162,6 +182,7 @@
     let mut headers = parts.headers;
     head::strip_hop_headers(&mut headers);
     headers.remove(header::EXPECT);
+    caller.prepare(call.shared, &mut headers);
     let head = attempt::Head {
         method: parts.method,
         uri: parts.uri,
@@ -176,7 +197,9 @@
     let request = exchange::Request {
         route,
         service_name: service.spec.name.clone(),
-        priority: route.spec.priority,
+        priority: caller.priority,
+        home_regions: caller.home_regions.clone(),
+        identity: caller.identity.clone(),
         head,
         payload,
         waited_before: route.estimate.infer_elapsed_wait(timeout),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,8 @@
 //! State that all tasks of a gateway share.
 
-use crate::{backend, buffer, decisions, dialect, metrics, pool, server_traffic, settings, table};
+use crate::{
+    backend, buffer, caller, decisions, dialect, metrics, pool, server_traffic, settings, table,
+};
 use arc_swap::ArcSwap;
 use hyper::header;
 use nutmegdale_admission::bucket;
@@ -26,6 +28,8 @@
     pub dialect: sync::Arc<dyn dialect::Dialect>,
     /// Decoder of configuration documents.
     pub codec: sync::Arc<dyn config::Codec>,
+    /// What operators see of the identification of callers.
+    pub callers: caller::Monitor,
     /// Limits of client accounts.
     pub quota_gate: sync::Arc<dyn gate::Gate>,
     /// Current routing table, replaced by read-copy-update.
@@ -85,6 +89,7 @@
             clock: dependencies.clock,
             dialect: dependencies.dialect,
             codec: dependencies.codec,
+            callers: caller::Monitor::default(),
             quota_gate: sync::Arc::new(gate::Open),
             table: ArcSwap::from_pointee(initial),
             is_configured: watch::channel(false).0,
@@ -110,26 +115,40 @@
 
     /// Publishes a new table.
     pub fn publish(&self, table: table::Table) {
+        self.publish_confirmed(table, None);
+    }
+
+    /// Publishes a new table, which has every change accepted before `confirmed_at`. Requests that
+    /// wait for the first configuration see both at once.
+    pub fn publish_confirmed(&self, table: table::Table, confirmed_at: Option<clock::Millis>) {
         let is_configured = table.config_version > 0;
         self.table.store(sync::Arc::new(table));
+        if let Some(at) = confirmed_at {
+            self.record_confirmation(at);
+        }
         self.is_configured.send_replace(is_configured);
     }
 
     /// Records that every change accepted before `at` is in the routing table.
     pub fn record_confirmation(&self, at: clock::Millis) {
         self.confirmed_at_ms
-            .fetch_max(at.0, atomic::Ordering::Relaxed);
+            .fetch_max(at.0, atomic::Ordering::Release);
+    }
+
+    /// Returns the time such that every change accepted before it is in any routing table that is
+    /// loaded afterwards. A table that was loaded before may lack some of them.
+    pub fn confirmed_at(&self) -> clock::Millis {
+        clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Acquire))
     }
 
     /// Returns the metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> Vec<u8> {
-        let confirmed_at = clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Relaxed));
-        let text = self.metrics.text(&[
+        let mut samples = vec![
             telemetry::Sample {
                 name: "nutmegdale_registry_confirmation_age_ms",
                 help: "Age of the evidence that the routing table has every accepted change.",
                 kind: telemetry::Kind::Gauge,
-                value: self.clock.now().since(confirmed_at).0,
+                value: self.clock.now().since(self.confirmed_at()).0,
             },
             telemetry::Sample {
                 name: "nutmegdale_buffered_bytes",
@@ -143,7 +162,11 @@
                 kind: telemetry::Kind::Counter,
                 value: self.buffer_budget.exhausted_count(),
             },
-        ]);
+        ];
+        if self.table.load().accounts.is_some() {
+            samples.extend(self.callers.samples());
+        }
+        let text = self.metrics.text(&samples);
         [
             text.into_bytes(),
             self.server_traffic.text(),
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,6 +1,7 @@
 //! Immutable routing table that the path of a request reads: routes, services and servers.
 
 use crate::{backend, settings};
+use nutmegdale_accounts::index;
 use nutmegdale_base::{clock, digest};
 use nutmegdale_dispatch::{availability, budget, cold, estimate, placement, split};
 use nutmegdale_registry::{config, follow, server};
@@ -59,6 +60,8 @@
     /// Index of the registry from which the table was built.
     pub registry_index: u64,
     routes: sync::Arc<Routes>,
+    /// Client accounts by key; `None` if callers are not identified.
+    pub accounts: Option<sync::Arc<index::Index>>,
     /// Services of the configuration, in its order.
     pub services: Vec<Service>,
     /// Entry processes that are ready for callers.
@@ -113,6 +116,8 @@
     /// Version of the configuration and its routes. These are reused, since servers and processes
     /// change far more often and a configuration may have more than a thousand routes.
     routes: (u64, sync::Arc<Routes>),
+    /// Client accounts of the same version.
+    accounts: Option<sync::Arc<index::Index>>,
     zones_out: collections::BTreeSet<String>,
 }
 
@@ -127,6 +132,7 @@
             estimates: collections::HashMap::new(),
             splitters: collections::HashMap::new(),
             routes: (0, sync::Arc::default()),
+            accounts: None,
             zones_out: collections::BTreeSet::new(),
         }
     }
@@ -149,11 +155,14 @@
         if let Some(config) = config.filter(|config| config.version != self.routes.0) {
             let routes = self.build_routes(config);
             self.routes = (config.version, sync::Arc::new(routes));
+            let accounts = config.accounts.as_deref();
+            self.accounts = accounts.map(|list| sync::Arc::new(index::Index::new(list)));
         }
         Table {
             config_version: copy.version,
             registry_index: copy.index,
             routes: sync::Arc::clone(&self.routes.1),
+            accounts: self.accounts.clone(),
             services,
             entries: copy.entries.clone(),
             listeners: config.map(|config| config.listeners),
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -2,18 +2,20 @@
 
 #![allow(dead_code)] // Each test file uses only some of the helpers.
 
+pub(crate) mod observe;
 pub(crate) mod raw;
 mod server;
 
 use http_body_util::BodyExt;
 use hyper::header;
 use hyper_util::rt;
+use nutmegdale_accounts::key;
 use nutmegdale_base::{class, clock};
 use nutmegdale_dispatch::{budget, cold, estimate, health};
 use nutmegdale_gateway::{buffer, dialect, pool, proxy, settings, state, table};
+use nutmegdale_quota::gate;
 use nutmegdale_registry::{config, follow, server as registry};
 use nutmegdale_rpc::listen;
-use nutmegdale_telemetry::{clock as telemetry_clock, log};
 use std::net;
 use std::sync;
 use std::time;
@@ -42,6 +44,20 @@
         }
     }
 
+    fn parse_key<'a>(&self, headers: &'a header::HeaderMap) -> key::Presented<'a> {
+        let values = headers.get_all("key").into_iter();
+        key::Presented::from_values(values.map(header::HeaderValue::as_bytes))
+    }
+
+    fn replace_account(&self, headers: &mut header::HeaderMap, account: Option<&str>) {
+        headers.remove("key");
+        headers.remove("account");
+        if let Some(name) = account {
+            let name = header::HeaderValue::from_str(name).expect("a valid header value");
+            headers.insert("account", name);
+        }
+    }
+
     fn prepare_request(
         &self,
         headers: &mut header::HeaderMap,
@@ -94,6 +110,23 @@
     }
 }
 
+/// What differs between the gateways of tests.
+pub(crate) struct Setup {
+    pub(crate) retry_budget: budget::Bound,
+    pub(crate) features: settings::Features,
+    pub(crate) gate: Option<sync::Arc<dyn gate::Gate>>,
+}
+
+impl Default for Setup {
+    fn default() -> Setup {
+        Setup {
+            retry_budget: RETRY_BUDGET,
+            features: settings::Features::default(),
+            gate: None,
+        }
+    }
+}
+
 /// Gateway with its stub servers.
 pub(crate) struct Harness {
     address: net::SocketAddr,
@@ -101,6 +134,8 @@
     builder: sync::Mutex<table::Builder>,
     copy: follow::LocalCopy,
     config: config::Config,
+    clock: sync::Arc<observe::ShiftedClock>,
+    log_text: observe::LogText,
     log: server::RequestLog,
     _stop: watch::Sender<bool>,
 }
@@ -128,7 +163,7 @@
             let address = server::start(*behaviour, sync::Arc::clone(&log)).await;
             servers.push((address, zone));
         }
-        Harness::start_gateway(class, &servers, log, RETRY_BUDGET).await
+        Harness::start_gateway(class, &servers, log, Setup::default()).await
     }
 
     /// Starts a configured gateway with servers that the test runs itself.
@@ -145,31 +180,51 @@
         retry_budget: budget::Bound,
     ) -> Harness {
         let log = server::RequestLog::default();
-        let harness = Harness::start_gateway(class, servers, log, retry_budget).await;
+        let setup = Setup {
+            retry_budget,
+            ..Setup::default()
+        };
+        let harness = Harness::start_gateway(class, servers, log, setup).await;
         harness.configure();
         harness
     }
 
+    /// Starts a gateway without a configuration that has the features of `setup`.
+    pub(crate) async fn start_setup(
+        class: class::Class,
+        servers: &[(net::SocketAddr, &str)],
+        setup: Setup,
+    ) -> Harness {
+        Harness::start_gateway(class, servers, server::RequestLog::default(), setup).await
+    }
+
     async fn start_gateway(
         class: class::Class,
         servers: &[(net::SocketAddr, &str)],
         log: server::RequestLog,
-        retry_budget: budget::Bound,
+        setup: Setup,
     ) -> Harness {
         let copy = registry_of(servers);
         let mut settings = settings();
-        settings.bounds.retry_budget = retry_budget;
+        settings.bounds.retry_budget = setup.retry_budget;
+        settings.features = setup.features;
         let settings = sync::Arc::new(settings);
         let mut builder = table::Builder::new(sync::Arc::clone(&settings));
         let empty = builder.build(clock::Millis::ZERO, &follow::LocalCopy::default(), None);
+        let clock = sync::Arc::new(observe::ShiftedClock::start());
+        let log_text = observe::LogText::default();
         let dependencies = state::Dependencies {
-            clock: sync::Arc::new(telemetry_clock::SystemClock::start()),
+            clock: sync::Arc::clone(&clock) as sync::Arc<dyn clock::Clock>,
             dialect: sync::Arc::new(TestDialect),
             codec: sync::Arc::new(UnusedCodec),
-            log: log::discard(),
+            log: log_text.logger(),
             seed: 1,
         };
-        let shared = sync::Arc::new(state::Shared::new(settings, dependencies, empty));
+        let mut shared = state::Shared::new(settings, dependencies, empty);
+        if let Some(gate) = setup.gate {
+            shared.quota_gate = gate;
+        }
+        let shared = sync::Arc::new(shared);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let proxy = sync::Arc::new(proxy::Proxy::new(sync::Arc::clone(&shared)));
@@ -188,6 +243,8 @@
             builder: sync::Mutex::new(builder),
             copy,
             config: config(class),
+            clock,
+            log_text,
             log,
             _stop: stop,
         }
@@ -198,6 +255,36 @@
         self.publish(&self.copy);
     }
 
+    /// Changes the configuration and publishes it as the next version.
+    pub(crate) fn reconfigure(&mut self, change: impl FnOnce(&mut config::Config)) {
+        change(&mut self.config);
+        self.config.version += 1;
+        self.copy.version = self.config.version;
+        self.configure();
+    }
+
+    /// Records that the table had every change that was accepted until `age` ago.
+    pub(crate) fn confirm(&self, age: clock::Millis) {
+        let now = self.shared.clock.now();
+        self.shared
+            .record_confirmation(clock::Millis(now.since(age).0));
+    }
+
+    /// Moves the clock of the gateway forward, as after a suspension of its VM.
+    pub(crate) fn advance(&self, span: clock::Millis) {
+        self.clock.advance(span);
+    }
+
+    /// Returns the text of all log lines.
+    pub(crate) fn log_text(&self) -> String {
+        self.log_text.text()
+    }
+
+    /// Returns the metrics.
+    pub(crate) fn metrics_text(&self) -> String {
+        String::from_utf8(self.shared.metrics_text()).expect("text")
+    }
+
     /// Limits the gateway to one connection to each server.
     pub(crate) fn limit_connections(&mut self) {
         self.config.services[0].connections_max = 1;
--- a/crates/registry/src/config.rs
+++ b/crates/registry/src/config.rs
@@ -1,7 +1,7 @@
 //! Configuration of a deployment, submitted by operators as one document.
 
 use displaydoc::Display;
-use nutmegdale_accounts::account;
+use nutmegdale_accounts::{account, key};
 use nutmegdale_base::{class, clock};
 use std::collections;
 
@@ -116,6 +116,8 @@
     InvalidPrefix(String),
     /// two services have the name {0:?}
     DuplicateService(String),
+    /// an account has the name {0:?}, which is empty or cannot be sent in a header
+    InvalidAccountName(String),
     /// two accounts have the name {0:?}
     DuplicateAccount(String),
     /// the account {0:?} has a key that another account has
@@ -162,7 +164,7 @@
             });
         }
     }
-    Ok(())
+    check_accounts(config.accounts.as_deref().unwrap_or(&[]))
 }
 
 fn check_route(route: &Route, services: &collections::BTreeSet<&str>) -> Result<(), Error> {
@@ -192,3 +194,34 @@
     }
     Ok(())
 }
+
+fn check_accounts(accounts: &[account::Account]) -> Result<(), Error> {
+    let empty_key = key::Digest::of(b"");
+    let mut names = collections::BTreeSet::new();
+    let mut owners = collections::HashMap::new();
+    for account in accounts {
+        let name = account.name.as_str();
+        // Servers get the name in a header, whose value has no space around it.
+        if name.is_empty() || name.trim() != name || name.contains(char::is_control) {
+            return Err(Error::InvalidAccountName(name.to_owned()));
+        }
+        if !names.insert(name) {
+            return Err(Error::DuplicateAccount(name.to_owned()));
+        }
+        if account.keys.contains(&empty_key) {
+            return Err(Error::EmptyKey(name.to_owned()));
+        }
+        for digest in &account.keys {
+            let owner = *owners.entry(digest.bytes()).or_insert(name);
+            if owner != name {
+                return Err(Error::SharedKey(name.to_owned()));
+            }
+        }
+        let is_valid = |figure: f64| figure.is_finite() && figure >= 0.0;
+        let limit = account.limit.as_ref();
+        if limit.is_some_and(|l| !is_valid(l.rate_per_s) || !is_valid(l.burst)) {
+            return Err(Error::InvalidLimit(name.to_owned()));
+        }
+    }
+    Ok(())
+}
--- a/crates/registry/src/document.rs
+++ b/crates/registry/src/document.rs
@@ -5,6 +5,7 @@
 //! fields in every route, so they are sent and stored compressed.
 
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::io;
 use std::io::Read;
 use std::sync;
@@ -14,13 +15,22 @@
 
 /// Compressed document; clones share their bytes.
 #[serde_with::serde_as]
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Document {
     #[serde_as(as = "sync::Arc<serde_with::Bytes>")]
     packed: sync::Arc<Vec<u8>>,
 }
 
+/// Prints the size only, since documents hold the keys of accounts.
+impl fmt::Debug for Document {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Document")
+            .field("packed_bytes", &self.packed.len())
+            .finish_non_exhaustive()
+    }
+}
+
 impl Document {
     /// Compresses a document.
     pub fn pack(document: &[u8]) -> Document {
