rpc, gateway: pipelined requests run beside each other

The HTTP library serves the requests of a connection one after the other, so a lookup of 75 ms that is third on its connection takes 225 ms of a target of 250 ms.

The listener's stream now passes one request at a time to the library and reads ahead meanwhile. It looks only for the end of a head; what follows a head is what the library decoded, so that the two cannot disagree about where a request ends. Bodiless GET and HEAD requests behind others of these methods are offered to Service::call_ahead, at most 8 ahead, and run as tasks that the service call takes over in order. Proxy accepts routes of an idempotent class while the process is not stopping. A response loses "connection: close" while requests behind it run, and a stop waits for these.

Ruled out: a parser that decodes framing beside the library; reading ahead by the library itself, which stops reading, and noticing that the caller leaves, once it has bytes of a second request; requests behind a POST, which may read what it changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod metrics;
 pub mod payload;
 pub mod picker;
+mod pipelined;
 pub mod pool;
 pub mod probe;
 pub mod proxy;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,10 @@
     pub servers_leaving: atomic::AtomicU64,
     /// Backoffs that servers asked for.
     pub backoffs: atomic::AtomicU64,
+    /// Pipelined requests that were started while an earlier one of their connection was unfinished.
+    pub pipelined: atomic::AtomicU64,
+    /// Pipelined requests that were started early and dropped, since their connection ended.
+    pub pipelined_cancelled: atomic::AtomicU64,
     /// Failed registry syncs with a coordinator.
     pub syncs_failed: atomic::AtomicU64,
 }
@@ -89,6 +93,16 @@
                 "Times that a server asked for no requests for a while.",
                 &self.backoffs,
             ),
+            counter(
+                "nutmegdale_pipelined_total",
+                "Requests that were started while an earlier one of their connection was unfinished.",
+                &self.pipelined,
+            ),
+            counter(
+                "nutmegdale_pipelined_cancelled_total",
+                "Requests that were started early and ended with their connection.",
+                &self.pipelined_cancelled,
+            ),
             counter(
                 "nutmegdale_syncs_failed_total",
                 "Syncs with a coordinator that failed.",
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -1,6 +1,7 @@
 //! Request path: handles a caller's request from its head to its outcome.
 
-use crate::{attempt, call, decisions, exchange, payload, state, table};
+use crate::{attempt, call, decisions, exchange, payload, pipelined, state, table};
+use bytes::Bytes;
 use hyper::{body, header};
 use nutmegdale_base::{clock, outcome};
 use nutmegdale_entry::head;
@@ -39,15 +40,36 @@
         _client: net::SocketAddr,
     ) -> listen::ResponseFuture {
         let shared = sync::Arc::clone(&self.shared);
-        Box::pin(async move { handle(&shared, req).await })
+        Box::pin(async move {
+            let started = shared.clock.now();
+            handle(&shared, req.map(Some), started).await
+        })
+    }
+
+    fn call_ahead(
+        &self,
+        req: &hyper::Request<()>,
+        _client: net::SocketAddr,
+    ) -> Option<listen::ResponseFuture> {
+        let shared = sync::Arc::clone(&self.shared);
+        let mut early = pipelined::Early::try_start(&shared, req)?;
+        let req = req.clone().map(|()| None);
+        Some(Box::pin(async move {
+            let response = handle(&shared, req, early.started).await;
+            early.complete();
+            response
+        }))
     }
 }
 
+/// Body of a request as it arrives; `None` if the request has none.
+type RequestBody = Option<body::Incoming>;
+
 async fn handle(
     shared: &sync::Arc<state::Shared>,
-    req: hyper::Request<body::Incoming>,
+    req: hyper::Request<RequestBody>,
+    started: clock::Millis,
 ) -> hyper::Response<listen::Body> {
-    let started = shared.clock.now();
     let metadata = shared.dialect.parse_request(req.headers());
     let timeout = metadata.timeout.unwrap_or(TIMEOUT_DEFAULT_MS);
     if shared.table.load().config_version == 0 {
@@ -56,9 +78,7 @@
             .await;
     }
     let table = shared.table.load_full();
-    let host = req.headers().get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
-    let route = table.route(host_name(host), req.uri().path());
+    let route = table.route(host_of(req.headers()), req.uri().path());
     let limit = route.map_or(timeout, |route| timeout.min(route.spec.timeout));
     let mut call = call::Call {
         shared,
@@ -87,6 +107,12 @@
     )
 }
 
+/// Returns the host that a request names, without the port; empty if it names none.
+pub(crate) fn host_of(headers: &header::HeaderMap) -> &str {
+    let host = headers.get(header::HOST);
+    host_name(host.and_then(|host| host.to_str().ok()).unwrap_or(""))
+}
+
 /// Returns the host of a `Host` header without the port.
 pub fn host_name(host: &str) -> &str {
     host.rsplit_once(':').map_or(host, |(name, _)| name)
@@ -137,20 +163,27 @@
     call: &mut call::Call<'_>,
     table: &table::Table,
     route: &table::Route,
-    req: hyper::Request<body::Incoming>,
+    req: hyper::Request<RequestBody>,
     timeout: clock::Millis,
 ) -> call::FinalResponse {
     let (parts, incoming) = req.into_parts();
     let body_max_bytes = table
         .listeners
         .map_or(u64::MAX, |listeners| listeners.body_max_bytes);
-    let size = body::Body::size_hint(&incoming).lower();
+    let size = incoming
+        .as_ref()
+        .map_or(0, |body| body::Body::size_hint(body).lower());
     if size > body_max_bytes {
         let outcome = outcome::Outcome::NotRun(outcome::Reason::Limit);
         return call.local_response(hyper::StatusCode::PAYLOAD_TOO_LARGE, outcome, None);
     }
     let time_left = time::Duration::from_millis(call.time_left().0);
-    let read = payload::Payload::read(incoming, &call.shared.buffer_budget);
+    let read = async {
+        match incoming {
+            Some(incoming) => payload::Payload::read(incoming, &call.shared.buffer_budget).await,
+            None => Ok(payload::Payload::from_bytes(Bytes::new())),
+        }
+    };
     let payload = match tokio::time::timeout(time_left, read).await {
         Ok(Ok(payload)) => payload,
         Ok(Err(_)) => {
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -212,6 +212,13 @@
             .load(sync::atomic::Ordering::Relaxed)
     }
 
+    /// Returns the value of a metric, given by its name and labels.
+    pub(crate) fn metric(&self, series: &str) -> u64 {
+        let text = String::from_utf8(self.shared.metrics_text()).expect("a text");
+        let line = text.lines().find_map(|line| line.strip_prefix(series));
+        line.expect("a series").trim().parse().expect("a number")
+    }
+
     /// Publishes a table in which the zone of the servers is out of service.
     pub(crate) fn set_zone_out(&self) {
         let mut copy = self.copy.clone();
--- a/crates/rpc/src/listen.rs
+++ b/crates/rpc/src/listen.rs
@@ -1,7 +1,10 @@
 //! HTTP listener with graceful shutdown and limits that protect it from slow or hostile clients.
 
 mod activity;
+mod ahead;
 mod connection;
+mod head;
+mod stream;
 mod tracked;
 
 use bytes::Bytes;
@@ -29,6 +32,18 @@
 pub trait Service: Send + Sync + 'static {
     /// Handles one request from `client`.
     fn call(&self, req: hyper::Request<body::Incoming>, client: net::SocketAddr) -> ResponseFuture;
+
+    /// Returns the handling of a pipelined request without a body, which then starts while earlier
+    /// requests of its connection are unfinished; `None` to handle it in its turn by
+    /// [`Service::call`]. The future is dropped if the connection ends first, so this suits only
+    /// requests that may run again.
+    fn call_ahead(
+        &self,
+        _req: &hyper::Request<()>,
+        _client: net::SocketAddr,
+    ) -> Option<ResponseFuture> {
+        None
+    }
 }
 
 /// Timeouts and resource limits of a listener.
--- a/crates/rpc/src/listen/connection.rs
+++ b/crates/rpc/src/listen/connection.rs
@@ -1,8 +1,6 @@
 //! Task that serves one connection.
 
-use super::activity;
-use super::tracked;
-use super::{Bounds, Service};
+use super::{Bounds, Service, activity, ahead, stream, tracked};
 use hyper_util::rt;
 use hyper_util::server::conn;
 use nutmegdale_base::clock;
@@ -26,12 +24,16 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let activity = sync::Arc::new(activity::Activity::default());
-    let request_activity = sync::Arc::clone(&activity);
+    let ahead = ahead::Ahead::new(service, client, sync::Arc::clone(&activity));
+    let ahead = sync::Arc::new(ahead);
+    let calls = sync::Arc::clone(&ahead);
     let handler = hyper::service::service_fn(move |req| {
-        let in_flight = request_activity.begin_request();
-        let response = service.call(req, client);
+        let in_flight = calls.activity.begin_request(&req);
+        let response = calls.call(req);
+        let calls = sync::Arc::clone(&calls);
         async move {
-            let response = response.await;
+            let mut response = response.await;
+            calls.defer_close(&mut response);
             let body = |body| tracked::ResponseBody {
                 body,
                 _in_flight: in_flight,
@@ -40,7 +42,11 @@
         }
     });
     let socket = tracked::Socket {
-        io: rt::TokioIo::new(stream),
+        io: rt::TokioIo::new(stream::Stream::new(
+            stream,
+            sync::Arc::clone(&ahead),
+            bounds.head_max_bytes,
+        )),
         activity: sync::Arc::clone(&activity),
     };
     let mut conn = pin::pin!(builder.serve_connection(socket, handler));
@@ -50,12 +56,17 @@
     let mut monitor = activity::TimeoutMonitor::new(timeouts(&bounds), &activity);
     let mut is_shutting_down = false;
     let mut shuts_down_at_tick = false;
+    let mut shuts_down_when_emptied = false;
     loop {
         tokio::select! {
             biased;
             // Connection errors are not logged here: the client sees them, and requests log their
             // outcome.
             _ = conn.as_mut() => return,
+            () = ahead.emptied(), if shuts_down_when_emptied => {
+                shuts_down_when_emptied = false;
+                conn.as_mut().graceful_shutdown();
+            }
             _ = ticks.tick() => {
                 if shuts_down_at_tick {
                     shuts_down_at_tick = false;
@@ -74,13 +85,15 @@
             }
             _ = stop.wait_for(|is_stopping| *is_stopping), if !is_shutting_down => {
                 is_shutting_down = true;
+                ahead.close();
                 // A request may be on its way. If the connection closed now, the client could not
                 // tell whether the request ran.
                 if activity.is_new() {
                     shuts_down_at_tick = true;
                     ticks.reset_after(FIRST_REQUEST_GRACE);
                 } else {
-                    conn.as_mut().graceful_shutdown();
+                    // Responses to pipelined requests in progress are still sent.
+                    shuts_down_when_emptied = true;
                 }
             }
         }
--- a/crates/rpc/src/listen/tracked.rs
+++ b/crates/rpc/src/listen/tracked.rs
@@ -1,7 +1,6 @@
 //! Socket and response body that update the [`activity::Activity`] of their connection.
 
-use super::activity;
-use super::{Body, BodyError};
+use super::{Body, BodyError, activity, stream};
 use bytes::Bytes;
 use hyper::body;
 use hyper::rt;
@@ -12,9 +11,8 @@
 use std::task;
 
 /// Socket that counts reads and writes.
-#[derive(Debug)]
 pub(super) struct Socket {
-    pub(super) io: TokioIo<tokio::net::TcpStream>,
+    pub(super) io: TokioIo<stream::Stream<tokio::net::TcpStream>>,
     pub(super) activity: sync::Arc<activity::Activity>,
 }
 
