--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -135,7 +135,7 @@
     let regions = identify::common_regions(&route.home_regions, &account.home_regions);
     caller.home_regions = match regions {
         Some(regions) => regions,
-        None => return Err(refuse_everywhere(call, &copy)),
+        None => return Err(refuse_everywhere(call)),
     };
     caller.priority = account.priority.unwrap_or(route.priority);
     if account.limit.is_some() {
@@ -179,15 +179,12 @@
 
 /// Returns the response to a request that may be served in no region.
 ///
-/// No retry can succeed before an operator changes the configuration, so the caller is told that the
-/// account may not use the route. Only a copy that may be too old for that asks it to try again.
-fn refuse_everywhere(call: &mut call::Call<'_>, copy: &identify::Copy<'_>) -> call::FinalResponse {
-    if copy.lease.permits(copy.age) != lease::Use::Everything {
-        return refuse(call, identify::Refusal::StaleCopy);
-    }
+/// The request has not run and its key is valid, so the response says so. No retry can succeed before
+/// an operator changes the configuration, so the caller is told to wait as long as it can.
+fn refuse_everywhere(call: &mut call::Call<'_>) -> call::FinalResponse {
     metrics::increment(&call.shared.callers.no_common_region);
-    let outcome = outcome::Outcome::NotRun(outcome::Reason::HomeRegion);
-    call.local_response(hyper::StatusCode::FORBIDDEN, outcome, None)
+    let retry_after = clock::Millis(call.time_left().0 / 3);
+    call.not_run(outcome::Reason::HomeRegion, Some(retry_after))
 }
 
 fn refuse_over_limit(
