--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -141,7 +141,9 @@
     if account.limit.is_some() {
         let time_left = call.time_left();
         let verdict = call.shared.quota_gate.acquire(account, time_left).await;
-        refuse_over_limit(call, verdict)?;
+        if let Some(refused) = refuse_over_limit(call, verdict) {
+            return Err(refused);
+        }
     }
     caller.identity = Some(Identity {
         account: sync::Arc::clone(account),
@@ -190,26 +192,27 @@
     call.local_response(hyper::StatusCode::FORBIDDEN, outcome, None)
 }
 
+/// Returns the response to a request that its account's limit does not admit.
 fn refuse_over_limit(
     call: &mut call::Call<'_>,
     verdict: gate::Verdict,
-) -> Result<(), call::FinalResponse> {
+) -> Option<call::FinalResponse> {
     let monitor = &call.shared.callers;
     let reason = outcome::Reason::Limit;
     match verdict {
-        gate::Verdict::Granted => Ok(()),
+        gate::Verdict::Granted => None,
         gate::Verdict::OverLimit { retry_after } => {
             metrics::increment(&monitor.over_limit);
             let (status, outcome) = (
                 hyper::StatusCode::TOO_MANY_REQUESTS,
                 outcome::Outcome::NotRun(reason),
             );
-            Err(call.local_response(status, outcome, Some(retry_after)))
+            Some(call.local_response(status, outcome, Some(retry_after)))
         }
         gate::Verdict::Unavailable { retry_after } => {
             metrics::increment(&monitor.limit_unavailable);
             call.trace.push_event(call.elapsed(), "limit-unavailable");
-            Err(call.not_run(reason, Some(retry_after)))
+            Some(call.not_run(reason, Some(retry_after)))
         }
     }
 }
--- a/crates/gateway/tests/accounts.rs
+++ b/crates/gateway/tests/accounts.rs
@@ -178,6 +178,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn hedge_carries_the_account() {
     let lab = Lab::start(class::Class::UrgentLookup, &[Answer::Late; 3]).await;
+    // A hedge is due at 270 ms of the target latency of 300 ms.
+    lab.harness.expect_service_time(clock::Millis(20));
     let mut most = 0;
     for _ in 0..5 {
         assert_eq!(lab.status("/path/x", KEY).await, 200);
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt;
 use nutmegdale_accounts::key;
 use nutmegdale_base::{class, clock};
-use nutmegdale_dispatch::{budget, cold, estimate, health};
+use nutmegdale_dispatch::{budget, cold, estimate, health, signal};
 use nutmegdale_gateway::{buffer, dialect, pool, proxy, settings, state, table};
 use nutmegdale_quota::gate;
 use nutmegdale_registry::{config, follow, server as registry};
@@ -83,6 +83,14 @@
                 let millis = millis.to_str().ok()?.parse().ok()?;
                 Some(clock::Millis(millis))
             }),
+            report: headers.get("slots").and_then(|slots| {
+                Some(signal::Report {
+                    running: 0,
+                    waiting: 0,
+                    slots: slots.to_str().ok()?.parse().ok()?,
+                    slowdown_percent: signal::NO_SLOWDOWN_PERCENT,
+                })
+            }),
             ..dialect::Response::default()
         }
     }
--- a/crates/gateway/tests/stub/observe.rs
+++ b/crates/gateway/tests/stub/observe.rs
@@ -87,7 +87,7 @@
 pub(crate) enum Answer {
     /// With a complete response.
     Complete,
-    /// With a complete response after 250 ms.
+    /// With a complete response after 500 ms.
     Late,
     /// By stating that it did not run the request.
     NotRun,
@@ -119,13 +119,15 @@
     req: hyper::Request<body::Incoming>,
 ) -> Result<hyper::Response<listen::Body>, convert::Infallible> {
     if req.uri().path() == "/health" {
-        return Ok(hyper::Response::new(listen::full("")));
+        // Hedges go only to servers that report free slots.
+        let response = hyper::Response::builder().header("slots", "4");
+        return Ok(response.body(listen::full("")).expect("a valid response"));
     }
     let head = req.headers().clone();
     let id = head["id"].clone();
     heads.lock().expect("no server panicked").push(head);
     if answer == Answer::Late {
-        tokio::time::sleep(std::time::Duration::from_millis(250)).await;
+        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
     }
     let response = hyper::Response::builder().header("id", id);
     let response = match answer {
