entry, routing, catalogue: tokens of accounts are digested and compared by nutmegdale-accounts

Change: accounts::key parses digests; the catalogue validates with it, the view stores its type, and entry::check compares with it. Unchanged: of several token headers the first counts there, and a missing one is an empty token.

--- a/crates/accounts/src/key.rs
+++ b/crates/accounts/src/key.rs
@@ -12,6 +12,9 @@
 pub struct Digest([u8; 32]);
 
 impl Digest {
+    /// Digest that practically no key has, so that an account with it is open to nobody.
+    pub const OF_NO_KEY: Digest = Digest([0; 32]);
+
     /// Returns the digest of a key.
     pub fn of(key: &[u8]) -> Digest {
         Digest(sha2::Sha256::digest(key).into())
--- a/crates/catalogue/src/validate.rs
+++ b/crates/catalogue/src/validate.rs
@@ -3,6 +3,7 @@
 use crate::change;
 use crate::config;
 use crate::spec;
+use nutmegdale_accounts::key;
 use nutmegdale_base::class;
 use nutmegdale_base::header;
 use std::collections;
@@ -142,8 +143,7 @@
             self.check_regions(&format!("{field}.home_regions"), &account.home_regions);
             self.check_limits(&field, &account.limits);
             if let Some(digest) = &account.token_sha256 {
-                let is_hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
-                if digest.len() != 64 || !digest.bytes().all(is_hex) {
+                if key::Digest::parse_hex(digest).is_none() {
                     let rule = "must be 64 lower-case hexadecimal digits";
                     self.fault(format!("{field}.token_sha256"), rule);
                 }
--- a/crates/entry/src/check.rs
+++ b/crates/entry/src/check.rs
@@ -8,10 +8,8 @@
 use nutmegdale_admission::{deadline, limit};
 use nutmegdale_base::{class, clock, entity, outcome};
 use nutmegdale_routing::permit;
-use sha2::Digest;
 use std::sync;
 use std::sync::atomic;
-use subtle::ConstantTimeEq;
 
 /// Request whose head passed validation.
 #[derive(Debug, Clone, Copy)]
@@ -205,8 +203,7 @@
     let account = account.ok_or("the account is not known")?;
     if let Some(digest) = &view.accounts[account].token_sha256 {
         let token = headers.get(&head::TOKEN).map_or(&b""[..], |v| v.as_bytes());
-        let presented = sha2::Sha256::digest(token);
-        if !bool::from(presented.as_slice().ct_eq(digest)) {
+        if !digest.is_of(token) {
             return Err("the account's token is missing or wrong");
         }
     }
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -1,6 +1,7 @@
 //! Catalogue and membership joined into one table, with names resolved to indices.
 
 use crate::permit;
+use nutmegdale_accounts::key;
 use nutmegdale_base::class;
 use nutmegdale_base::entity;
 use nutmegdale_base::entity::EntityRef;
@@ -101,7 +102,7 @@
     /// Highest priority class that its requests may have.
     pub class: class::Class,
     /// SHA-256 of the token that callers of the account must send; `None` if it needs none.
-    pub token_sha256: Option<[u8; 32]>,
+    pub token_sha256: Option<key::Digest>,
     /// Home regions: requests of the account may be processed and stored only there.
     pub regions: permit::RegionSet,
     /// Admission limits of the account.
@@ -449,11 +450,6 @@
 
 /// Parses 64 hexadecimal digits, which the validation of the catalogue guarantees. Any other text
 /// gives a digest that practically no token has, so the account fails closed.
-fn parse_digest(text: &str) -> [u8; 32] {
-    let mut digest = [0; 32];
-    for (byte, pair) in digest.iter_mut().zip(text.as_bytes().chunks(2)) {
-        let pair = std::str::from_utf8(pair).unwrap_or("");
-        *byte = u8::from_str_radix(pair, 16).unwrap_or(0);
-    }
-    digest
+fn parse_digest(text: &str) -> key::Digest {
+    key::Digest::parse_hex(text).unwrap_or(key::Digest::OF_NO_KEY)
 }
