gateway: test that an undecodable configuration confirms nothing

Cause: a process that counted such a configuration as taken up would accept withdrawn keys for ever.

--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use nutmegdale_base::clock;
 use nutmegdale_gateway::{service, state};
-use nutmegdale_registry::{document, feed, follow};
+use nutmegdale_registry::{config, document, feed, follow};
 use nutmegdale_rpc::{listen, server};
 use nutmegdale_telemetry::{clock as telemetry_clock, log};
 use std::net;
@@ -140,13 +140,22 @@
 async fn start_gateway(
     coordinators: &[sync::Arc<Coordinator>],
     stopped: &watch::Receiver<bool>,
+) -> sync::Arc<state::Shared> {
+    let codec = sync::Arc::new(stub::FixedCodec);
+    start_gateway_with(coordinators, stopped, codec).await
+}
+
+async fn start_gateway_with(
+    coordinators: &[sync::Arc<Coordinator>],
+    stopped: &watch::Receiver<bool>,
+    codec: sync::Arc<dyn config::Codec>,
 ) -> sync::Arc<state::Shared> {
     let seeds = coordinators.iter().map(|c| c.address).collect();
     let (seeds_tx, seeds) = watch::channel(seeds);
     let dependencies = state::Dependencies {
         clock: sync::Arc::new(telemetry_clock::SystemClock::start()),
         dialect: sync::Arc::new(stub::TestDialect),
-        codec: sync::Arc::new(stub::FixedCodec),
+        codec,
         log: log::discard(),
         seed: 1,
     };
@@ -234,3 +243,46 @@
         "{confirmation}"
     );
 }
+
+/// Codec that can be made to fail, as that of an older build does with a new kind of document.
+#[derive(Debug, Default)]
+struct FailingCodec {
+    is_failing: atomic::AtomicBool,
+}
+
+impl config::Codec for FailingCodec {
+    fn decode(&self, document: &[u8]) -> Result<config::Config, config::Error> {
+        match self.is_failing.load(atomic::Ordering::Relaxed) {
+            true => Err(config::Error::Unreadable("a new kind".to_owned())),
+            false => stub::FixedCodec.decode(document),
+        }
+    }
+}
+
+/// Guards against a process that goes on accepting withdrawn keys, since it counts a configuration
+/// as taken up although it could not decode it.
+#[tokio::test]
+async fn undecodable_configuration_confirms_nothing() {
+    /// Longer than two held syncs.
+    const SYNC: time::Duration = time::Duration::from_millis(1_200);
+    let (_stop, stopped) = watch::channel(false);
+    let coordinators = start(&["zone"], &stopped).await;
+    let codec = sync::Arc::new(FailingCodec::default());
+    let handle: sync::Arc<dyn config::Codec> = sync::Arc::clone(&codec) as _;
+    let shared = start_gateway_with(&coordinators, &stopped, handle).await;
+    wait_version(&shared, 1).await;
+    let first = shared.confirmed_at();
+    tokio::time::sleep(SYNC).await;
+    let confirmed = shared.confirmed_at();
+    assert!(confirmed > first, "syncs without changes confirm the copy");
+    codec.is_failing.store(true, atomic::Ordering::Relaxed);
+    coordinators[0].version.store(2, atomic::Ordering::Relaxed);
+    wait_version(&shared, 2).await;
+    let confirmed = shared.confirmed_at();
+    tokio::time::sleep(SYNC).await;
+    assert_eq!(shared.confirmed_at(), confirmed);
+    codec.is_failing.store(false, atomic::Ordering::Relaxed);
+    coordinators[0].version.store(3, atomic::Ordering::Relaxed);
+    wait_version(&shared, 3).await;
+    assert!(shared.confirmed_at() > confirmed);
+}
