gateway, catalogue: log messages as literals, which the test of the operations page finds

Cause: a message behind a format placeholder is not seen by daemon/tests/docs, and one nested condition was reported by clippy.

Result: daemon docs passes; clippy is clean for the crates of this part.

--- a/crates/catalogue/src/validate.rs
+++ b/crates/catalogue/src/validate.rs
@@ -142,11 +142,11 @@
             self.check_owner(&field, &account.owner);
             self.check_regions(&format!("{field}.home_regions"), &account.home_regions);
             self.check_limits(&field, &account.limits);
-            if let Some(digest) = &account.token_sha256 {
-                if key::Digest::parse_hex(digest).is_none() {
-                    let rule = "must be 64 lower-case hexadecimal digits";
-                    self.fault(format!("{field}.token_sha256"), rule);
-                }
+            if let Some(digest) = &account.token_sha256
+                && key::Digest::parse_hex(digest).is_none()
+            {
+                let rule = "must be 64 lower-case hexadecimal digits";
+                self.fault(format!("{field}.token_sha256"), rule);
             }
         }
     }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -239,11 +239,11 @@
         {
             return;
         }
-        let text = match is_expired {
-            true => "account keys suspended",
-            false => "account keys accepted",
-        };
-        slog::info!(shared.log, "{}", text; "age_ms" => copy.age.0);
+        if is_expired {
+            slog::info!(shared.log, "account keys suspended"; "age_ms" => copy.age.0);
+        } else {
+            slog::info!(shared.log, "account keys accepted"; "age_ms" => copy.age.0);
+        }
     }
 
     /// Returns the counters as metrics.
