coordinator: serve tokens of limited accounts and divide the limits

A coordinator reports to the leader every 500 ms and grants tokens from the shares that it gets. A leader starts to divide after a quorum has confirmed it and it has applied the committed log; limits of the first configuration of the system, accepted in its own term, can have no earlier shares and are divided at once. Deployments without the setting send nothing.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -3,6 +3,7 @@
 use crate::{gossip, operations, rounds};
 use bytes::Bytes;
 use nutmegdale_control::groups;
+use nutmegdale_quota::message;
 use nutmegdale_registry::{follow, state};
 use nutmegdale_replica::handle;
 use nutmegdale_rpc::server;
@@ -103,6 +104,18 @@
                 operations.confirm_leadership().await.map_err(unavailable)?;
                 server::encode_compact(&operations.local_config())
             })),
+            message::TAKE => Some(Box::pin(async move {
+                let req: message::TakeRequest = server::decode(&body)?;
+                let reply = operations.quota_take(&req);
+                let unknown = || (hyper::StatusCode::NOT_FOUND, "no limits".to_owned());
+                server::encode_compact(&reply.ok_or_else(unknown)?)
+            })),
+            message::SHARES => Some(Box::pin(async move {
+                let report: message::SharesRequest = server::decode(&body)?;
+                let reply = operations.answer_report(&report);
+                let reply = reply.map_err(|err| (hyper::StatusCode::SERVICE_UNAVAILABLE, err))?;
+                server::encode_compact(&reply)
+            })),
             _ => self.host.call(name, body),
         }
     }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,7 +5,8 @@
 //! `nutmegdale-replica`; [`confirmation`] holds the evidence of how recent its state is;
 //! [`entries`] is the soft-state table of live entry processes, which
 //! [`gossip`] merges between coordinators; [`repair`] decides which member of the group to admit,
-//! promote, demote or remove; `rounds` carries this out and `exchange` sends the gossip; [`service`]
+//! promote, demote or remove; `rounds` carries this out and `exchange` sends the gossip; `quota` holds the
+//! coordinator's shares of the limits of accounts; [`service`]
 //! starts the coordinator. A front end listens to operators and
 //! passes in a [`nutmegdale_registry::config::Codec`] that decodes their documents. See
 //! [docs/platform.md](../../../docs/platform.md).
@@ -18,6 +19,7 @@
 pub mod machine;
 pub mod metrics;
 pub mod operations;
+mod quota;
 pub mod repair;
 mod rounds;
 pub mod service;
--- a/crates/coordinator/src/machine.rs
+++ b/crates/coordinator/src/machine.rs
@@ -22,6 +22,8 @@
     feed: feed::Feed,
     /// When each server's record was applied here; its remaining cold time counts down from then.
     applied_at: collections::HashMap<String, clock::Millis>,
+    /// Index of the first configuration, if this replica has applied the command itself.
+    first_configuration: Option<u64>,
     /// Changes of the command that is being applied; kept to reuse its buffer.
     changes: Vec<feed::Change>,
 }
@@ -58,6 +60,12 @@
         read(&self.inner().state)
     }
 
+    /// Returns the index of the first configuration; `None` if there is none or if it is older than
+    /// the snapshot from which this replica was restored.
+    pub fn first_configuration(&self) -> Option<u64> {
+        self.inner().first_configuration
+    }
+
     /// Returns a receiver of the last applied index.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.index.subscribe()
@@ -137,7 +145,11 @@
             rmp_serde::from_slice(cmd).expect("a replica of this build encoded the command");
         let mut guard = self.shared.inner();
         let inner = &mut *guard;
+        let was_configured = inner.state.version > 0;
         let answer = inner.state.apply(index, cmd, &mut inner.changes);
+        if !was_configured && inner.state.version > 0 {
+            inner.first_configuration = Some(index);
+        }
         for change in &inner.changes {
             match change {
                 feed::Change::Server(announcement) => {
@@ -163,6 +175,7 @@
         let now = self.shared.clock.now();
         let index = state.index;
         let mut inner = self.shared.inner();
+        inner.first_configuration = None;
         inner.applied_at = state.servers.keys().map(|id| (id.clone(), now)).collect();
         inner.feed.reset(index);
         inner.state = state;
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -1,6 +1,6 @@
 //! Operations of a coordinator for operators, servers and entry processes.
 
-use crate::{calls, confirmation, entries, gossip, machine, metrics};
+use crate::{calls, confirmation, entries, gossip, machine, metrics, quota};
 use displaydoc::Display;
 use nutmegdale_base::clock;
 use nutmegdale_consensus::{status, types};
@@ -84,6 +84,8 @@
     pub(crate) codec: sync::Arc<dyn config::Codec>,
     pub(crate) clock: sync::Arc<dyn clock::Clock>,
     pub(crate) soft_state: sync::Mutex<SoftState>,
+    /// Limits of accounts, if the deployment has them.
+    pub(crate) quota: Option<quota::Quota>,
     pub(crate) log: slog::Logger,
     /// Rate limit of log lines on announcements, which come in hundreds after a start.
     pub(crate) announcement_lines: limiter::Limiter,
@@ -100,7 +102,9 @@
 
     /// Returns the metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> Vec<u8> {
-        [self.metrics.text(), self.client.traffic.text()].concat()
+        let quota = self.quota.as_ref().map(quota::Quota::metrics_text);
+        let quota = quota.unwrap_or_default();
+        [self.metrics.text(), quota, self.client.traffic.text()].concat()
     }
 
     /// Replaces the configuration that has the version `base`.
--- a/crates/coordinator/src/service.rs
+++ b/crates/coordinator/src/service.rs
@@ -1,9 +1,10 @@
 //! Startup and main loop of a coordinator.
 
-use crate::{calls, machine, metrics, operations, rounds};
+use crate::{calls, machine, metrics, operations, quota, rounds};
 use nutmegdale_base::clock;
 use nutmegdale_consensus::config as timing;
 use nutmegdale_control::groups;
+use nutmegdale_quota::gate;
 use nutmegdale_registry::config;
 use nutmegdale_rpc::{listen, server};
 use nutmegdale_settings::model;
@@ -47,6 +48,8 @@
     pub target_voters_count: usize,
     /// Shared secret by which the system's processes authenticate to each other.
     pub cluster_token: String,
+    /// Bound on the limits of accounts, if the deployment has them.
+    pub quotas: Option<gate::Bound>,
 }
 
 /// Dependencies of a coordinator that its caller provides.
@@ -119,6 +122,9 @@
             codec,
             clock,
             soft_state: sync::Mutex::default(),
+            quota: settings
+                .quotas
+                .map(|bound| quota::Quota::new(settings.listen, &bound)),
             log,
             announcement_lines: limiter::Limiter::new(operations::ANNOUNCEMENT_LINES_PER_SECOND),
             metrics: metrics::Metrics::new(),
@@ -162,6 +168,7 @@
         };
         tokio::select! {
             ended = rounds.run() => ended,
+            () = self.operations.run_quota() => Ok(()),
             _ = async { tokio::join!(serve, stop_group) } => Ok(()),
         }
     }
