gateway: admit requests within the limits of their accounts

The gate asks coordinators for tokens, one question at a time for all waiting requests, and refuses locally while an account is exhausted. The follower publishes its list of coordinators for it. Without the setting, the open gate stays and nothing is published.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -66,6 +66,9 @@
     pub async fn run(mut self) {
         loop {
             let targets = self.targets();
+            if let Some(quota) = &self.shared.quota {
+                quota.set_coordinators(&targets);
+            }
             let Some(target) = self.failover.next(self.shared.clock.now(), &targets) else {
                 tokio::time::sleep(time::Duration::from_millis(BACKOFF_MS)).await;
                 continue;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,8 @@
 //! State that all tasks of a gateway share.
 
-use crate::{backend, buffer, decisions, dialect, metrics, pool, server_traffic, settings, table};
+use crate::{
+    backend, buffer, decisions, dialect, metrics, pool, quota, server_traffic, settings, table,
+};
 use arc_swap::ArcSwap;
 use hyper::header;
 use nutmegdale_admission::bucket;
@@ -28,6 +30,8 @@
     pub codec: sync::Arc<dyn config::Codec>,
     /// Limits of client accounts.
     pub quota_gate: sync::Arc<dyn gate::Gate>,
+    /// State behind the gate, if the deployment has limits.
+    pub quota: Option<sync::Arc<quota::Quota>>,
     /// Current routing table, replaced by read-copy-update.
     pub table: ArcSwap<table::Table>,
     is_configured: watch::Sender<bool>,
@@ -37,7 +41,7 @@
     /// Token bucket that limits health checks.
     pub probe_budget: bucket::Bucket,
     /// Client for calls to coordinators.
-    pub client: client::Client,
+    pub client: sync::Arc<client::Client>,
     /// Whether the process is shutting down.
     is_stopping: atomic::AtomicBool,
     /// Time at which a stopping process cuts off requests, in milliseconds.
@@ -79,13 +83,23 @@
         dependencies: Dependencies,
         initial: table::Table,
     ) -> Shared {
+        let client = sync::Arc::new(client::Client::new(&settings.cluster_token));
+        let quota = settings.features.quotas.map(|_| {
+            let clock = sync::Arc::clone(&dependencies.clock);
+            quota::Quota::new(clock, sync::Arc::clone(&client), dependencies.log.clone())
+        });
+        let quota_gate: sync::Arc<dyn gate::Gate> = match &quota {
+            Some(quota) => sync::Arc::new(quota::Gate::new(sync::Arc::clone(quota))),
+            None => sync::Arc::new(gate::Open),
+        };
         Shared {
-            client: client::Client::new(&settings.cluster_token),
+            client,
             settings,
             clock: dependencies.clock,
             dialect: dependencies.dialect,
             codec: dependencies.codec,
-            quota_gate: sync::Arc::new(gate::Open),
+            quota_gate,
+            quota,
             table: ArcSwap::from_pointee(initial),
             is_configured: watch::channel(false).0,
             confirmed_at_ms: atomic::AtomicU64::new(0),
@@ -144,8 +158,10 @@
                 value: self.buffer_budget.exhausted_count(),
             },
         ]);
+        let quota = self.quota.as_ref().map(|quota| quota.metrics_text());
         [
             text.into_bytes(),
+            quota.unwrap_or_default(),
             self.server_traffic.text(),
             self.client.traffic.text(),
         ]
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -144,6 +144,13 @@
 }
 
 impl Sample {
+    /// Returns the sample in the Prometheus text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        self.write(&mut text);
+        text
+    }
+
     fn write(&self, text: &mut String) {
         use std::fmt::Write;
         let Sample {
