--- a/crates/coordinator/src/quota.rs
+++ b/crates/coordinator/src/quota.rs
@@ -214,11 +214,13 @@
             let has_begun = |status: &sync::Arc<status::Status>| {
                 status.role == status::Role::Leader && Some(status.term.0) != led_term
             };
+            let led_from = async {
+                let status = leads.wait_for(has_begun).await;
+                status.map(|status| (status.term.0, status.last.0))
+            };
             tokio::select! {
                 // An error means that the replica has stopped, after which the process ends.
-                Ok(status) = leads.wait_for(has_begun) => {
-                    quota.state().led_from = Some((status.term.0, status.last.0));
-                }
+                Ok(led_from) = led_from => quota.state().led_from = Some(led_from),
                 () = tokio::time::sleep(TICK) => {
                     self.refresh_limits(quota, &mut quota.state());
                     self.report(quota).await;
--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -2,9 +2,11 @@
 
 #![allow(dead_code)] // Each test file uses only some of the helpers.
 
+use nutmegdale_accounts::account;
 use nutmegdale_base::clock;
 use nutmegdale_consensus::status;
 use nutmegdale_coordinator::{operations, service};
+use nutmegdale_quota::gate;
 use nutmegdale_registry::{config, follow, state};
 use nutmegdale_storage::fake;
 use nutmegdale_telemetry::{clock as telemetry_clock, log};
@@ -20,13 +22,17 @@
 /// Time for an election and for other work that no test measures.
 pub(crate) const WAIT: time::Duration = time::Duration::from_secs(20);
 
-/// Codec of documents that start with the decimal digits of their version and a space.
+/// Codec of documents that start with the decimal digits of their version and a space. A following
+/// `limit=RATE` limits the account `account` to this rate, with a burst of one second.
 struct VersionCodec;
 
 impl config::Codec for VersionCodec {
     fn decode(&self, document: &[u8]) -> Result<config::Config, config::Error> {
         let text = String::from_utf8_lossy(document);
         let version = text.split(' ').next().unwrap_or_default().parse();
+        let limit = text
+            .split_once("limit=")
+            .and_then(|(_, rate)| rate.parse().ok());
         Ok(config::Config {
             version: version.map_err(|_| config::Error::Unreadable(text.into_owned()))?,
             routes: Vec::new(),
@@ -37,11 +43,25 @@
                 header_timeout: clock::Millis(3_000),
                 idle_timeout: clock::Millis(15_000),
             },
-            accounts: None,
+            accounts: limit.map(|limit| vec![limited_account(limit)]),
         })
     }
 }
 
+/// Returns the account `account` with a limit of `rate` requests per second.
+pub(crate) fn limited_account(rate: f64) -> account::Account {
+    account::Account {
+        name: "account".to_owned(),
+        keys: Vec::new(),
+        priority: None,
+        limit: Some(account::Limit {
+            rate_per_s: rate,
+            burst: rate,
+        }),
+        home_regions: Vec::new(),
+    }
+}
+
 /// Coordinator of the group.
 pub(crate) struct Member {
     pub(crate) operations: sync::Arc<operations::Operations>,
@@ -95,23 +115,34 @@
     pub(crate) members: Vec<Member>,
     addresses: addresses::Addresses,
     first_members: Vec<net::SocketAddr>,
+    quotas: Option<gate::Bound>,
 }
 
 impl Group {
     /// Starts `count` coordinators and gives them version 1.
     pub(crate) async fn start(count: usize) -> Group {
+        Group::start_with(count, None, "").await
+    }
+
+    /// Like [`Group::start`], with limits of accounts and a document that ends with `padding`.
+    pub(crate) async fn start_with(
+        count: usize,
+        quotas: Option<gate::Bound>,
+        padding: &str,
+    ) -> Group {
         let mut addresses = addresses::Addresses::reserve();
         let first_members: Vec<_> = (0..count).map(|_| addresses.next_address()).collect();
         let mut group = Group {
             members: Vec::new(),
             addresses,
             first_members,
+            quotas,
         };
         for address in group.first_members.clone() {
             let member = group.start_member(address, true, fake::FakeDisk::new());
             group.members.push(member);
         }
-        group.configure(0, 1).await;
+        group.configure_padded(0, 1, padding).await;
         for member in &group.members {
             member.current_index(1).await;
         }
@@ -133,6 +164,7 @@
             is_first_start,
             target_voters_count: self.first_members.len(),
             cluster_token: "token".to_owned(),
+            quotas: self.quotas,
         };
         let mut seeds = self.first_members.clone();
         seeds.extend(self.members.iter().map(|member| member.address));
