quota: plan for absent coordinators only when a term or the limits begin

An even part for a coordinator that stays away was lost to the others: with one of three coordinators stopped, the other two planned 90% of what they had.

--- a/crates/quota/src/division.rs
+++ b/crates/quota/src/division.rs
@@ -26,6 +26,8 @@
 /// part beyond the lease exceeds [`CONFIRMATION_MAX`]: a former leader must not regard a lease as
 /// ended that its successor has renewed in the last moment.
 const HOLD: clock::Millis = clock::Millis(LEASE.0 + 1_500);
+/// Time within which all coordinators report to a new leader.
+const FIRST_REPORTS: clock::Millis = clock::Millis(2_000);
 /// Margin for the resolution of clocks.
 const STEP: clock::Millis = clock::Millis(100);
 /// Time without a report after which nothing is planned for a coordinator.
@@ -192,6 +194,7 @@
     /// Burst on top of each limit, which is divided evenly.
     spare: f64,
     expected_count: usize,
+    expected_until: clock::Millis,
     accounts: collections::BTreeMap<String, Account>,
     coordinators: collections::BTreeMap<u64, Coordinator>,
 }
@@ -220,6 +223,7 @@
             unknown_until: now + HOLD,
             spare,
             expected_count: 1,
+            expected_until: now + FIRST_REPORTS,
             accounts: divided.collect(),
             coordinators: collections::BTreeMap::new(),
         }
@@ -230,8 +234,8 @@
         self.term
     }
 
-    /// Sets the number of coordinators that the group should have. Those that have not reported yet
-    /// are planned with, so that the first one does not get what belongs to all.
+    /// Sets the number of coordinators that the group should have. At the start of a term, those that
+    /// have not reported yet are planned with, so that the first one does not get what belongs to all.
     pub fn expect(&mut self, count: usize) {
         self.expected_count = count.max(1);
     }
@@ -243,6 +247,9 @@
         limits: &collections::BTreeMap<String, account::Limit>,
     ) {
         let is_settling = now < self.unknown_until;
+        if self.coordinators.is_empty() {
+            self.expected_until = now + FIRST_REPORTS;
+        }
         for (name, account) in &mut self.accounts {
             if !limits.contains_key(name) {
                 account.refill(now);
@@ -421,7 +428,10 @@
     fn offers(&mut self, now: clock::Millis, id: u64) -> Vec<Offer> {
         let is_live = |c: &&Coordinator| now.since(c.reported_at) < LIVE;
         let live_count = self.coordinators.values().filter(is_live).count();
-        let count = live_count.max(self.expected_count) as f64;
+        let count = match now < self.expected_until {
+            true => live_count.max(self.expected_count),
+            false => live_count,
+        } as f64;
         let coordinators = &self.coordinators;
         let is_live = |id: &u64| coordinators.get(id).as_ref().is_some_and(is_live);
         let mut offers = Vec::new();
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -224,7 +224,7 @@
                 3 | 4 => world.nodes[node].is_cut = false,
                 5 => world.nodes[node].is_down = true,
                 6 | 7 => world.nodes[node].is_down = false,
-                8 => {
+                8 | 12 => {
                     term.set(term.get() + 1);
                     world.elect(term.get(), &world.current_limits());
                 }
@@ -232,7 +232,6 @@
                     let process = rng.below(24) as usize;
                     world.processes[process].frozen_until = world.now + 3_000;
                 }
-                12 => world.leader = None,
                 _ => {}
             }
         });
--- a/crates/quota/tests/sim/mod.rs
+++ b/crates/quota/tests/sim/mod.rs
@@ -199,6 +199,8 @@
     pub(crate) nodes: Vec<Node>,
     pub(crate) processes: Vec<Process>,
     pub(crate) leader: Option<division::Division>,
+    /// Former leader with the time until which it does not know that it was replaced.
+    former: Option<(division::Division, u64)>,
     pub(crate) judge: Judge,
     pub(crate) loss: f64,
     limits: Limits,
@@ -215,6 +217,7 @@
             nodes: Vec::new(),
             processes: Vec::new(),
             leader: None,
+            former: None,
             judge: Judge::new(limits),
             loss: 0.0,
             limits: limits.clone(),
@@ -266,7 +269,9 @@
         let mut leader = division::Division::new(self.millis(), term, SPARE, divided);
         leader.set_limits(self.millis(), &self.limits);
         leader.expect(self.nodes.len());
-        self.leader = Some(leader);
+        let former = self.leader.replace(leader);
+        let until = self.now + division::CONFIRMATION_MAX.0;
+        self.former = former.map(|former| (former, until));
     }
 
     pub(crate) fn current_limits(&self) -> Limits {
@@ -337,8 +342,13 @@
         let is_cut = node.is_cut;
         // A lost reply has been given all the same.
         let (is_lost, is_reply_lost) = (is_cut || self.is_lost(), self.is_lost());
-        let leader = self.leader.as_mut().filter(|_| !is_lost);
-        let answer = leader.and_then(|leader| leader.answer(now, &question).ok());
+        let is_unaware = self.rng.below(2) == 0;
+        let former = self.former.as_mut();
+        let former = former.filter(|(_, until)| is_unaware && *until > now.0);
+        let leader = former.map(|(leader, _)| leader).or(self.leader.as_mut());
+        let answer = leader
+            .filter(|_| !is_lost)
+            .and_then(|leader| leader.answer(now, &question).ok());
         let answer = answer.filter(|_| !is_reply_lost);
         let duration = match answer.is_some() {
             true => REPORT_MS,
