--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,8 @@
 //! State that all tasks of a gateway share.
 
 use crate::{
-    backend, buffer, caller, decisions, dialect, metrics, pool, server_traffic, settings, table,
+    backend, buffer, caller, decisions, dialect, metrics, pool, quota, server_traffic, settings,
+    table,
 };
 use arc_swap::ArcSwap;
 use hyper::header;
@@ -32,6 +33,8 @@
     pub callers: caller::Monitor,
     /// Limits of client accounts.
     pub quota_gate: sync::Arc<dyn gate::Gate>,
+    /// State behind the gate, if the deployment has limits.
+    pub quota: Option<sync::Arc<quota::Quota>>,
     /// Current routing table, replaced by read-copy-update.
     pub table: ArcSwap<table::Table>,
     is_configured: watch::Sender<bool>,
@@ -41,7 +44,7 @@
     /// Token bucket that limits health checks.
     pub probe_budget: bucket::Bucket,
     /// Client for calls to coordinators.
-    pub client: client::Client,
+    pub client: sync::Arc<client::Client>,
     /// Whether the process is shutting down.
     is_stopping: atomic::AtomicBool,
     /// Time at which a stopping process cuts off requests, in milliseconds.
@@ -83,14 +86,24 @@
         dependencies: Dependencies,
         initial: table::Table,
     ) -> Shared {
+        let client = sync::Arc::new(client::Client::new(&settings.cluster_token));
+        let quota = settings.features.quotas.map(|_| {
+            let clock = sync::Arc::clone(&dependencies.clock);
+            quota::Quota::new(clock, sync::Arc::clone(&client), dependencies.log.clone())
+        });
+        let quota_gate: sync::Arc<dyn gate::Gate> = match &quota {
+            Some(quota) => sync::Arc::new(quota::Gate::new(sync::Arc::clone(quota))),
+            None => sync::Arc::new(gate::Open),
+        };
         Shared {
-            client: client::Client::new(&settings.cluster_token),
+            client,
             settings,
             clock: dependencies.clock,
             dialect: dependencies.dialect,
             codec: dependencies.codec,
             callers: caller::Monitor::default(),
-            quota_gate: sync::Arc::new(gate::Open),
+            quota_gate,
+            quota,
             table: ArcSwap::from_pointee(initial),
             is_configured: watch::channel(false).0,
             confirmed_at_ms: atomic::AtomicU64::new(0),
@@ -167,8 +180,10 @@
             samples.extend(self.callers.samples());
         }
         let text = self.metrics.text(&samples);
+        let quota = self.quota.as_ref().map(|quota| quota.metrics_text());
         [
             text.into_bytes(),
+            quota.unwrap_or_default(),
             self.server_traffic.text(),
             self.client.traffic.text(),
         ]
