dispatch, gateway: keep slots free for urgent requests as pressure rises

Cause: priorities were decoded and not used. In a rush, requests with long targets and deadlines filled the servers, and those with short ones were refused: the most urgent kind was served worst.

Change: dispatch::pressure sums up the requests per slot over the load reports that a process holds, by age and speed of the VM. dispatch::precedence derives from it what a request may take: less urgent ones no longer queue, then leave the last slot free on a growing part of the servers, chosen by a hash of the server's id. gateway::precedence applies it in the picker. A service whose requests all have one priority takes no sum and has no limit.

Ruled out: strict priority, which serves the middle kind less often than the least urgent one in a rush of all kinds; quotas for each priority.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,8 +6,9 @@
 //! [`cold`] paces requests to servers that warm up, [`placement`] predicts the latency of each
 //! candidate server and ranks them, [`estimate`] learns the cost of a route's requests from
 //! responses, [`hedge`] decides when a hedged request is due, [`budget`] limits retries and hedges,
-//! [`split`] divides a route's requests among services, and [`admission`] decides whether a request
-//! can still be served in time. Nothing here depends on HTTP; the caller is `nutmegdale-gateway`.
+//! [`split`] divides a route's requests among services, [`pressure`] measures how short of capacity a
+//! service is, [`precedence`] keeps slots free for urgent requests, and [`admission`] decides whether
+//! a request can still be served in time. Nothing here depends on HTTP; the caller is `nutmegdale-gateway`.
 
 pub mod admission;
 pub mod availability;
@@ -17,5 +18,7 @@
 pub mod health;
 pub mod hedge;
 pub mod placement;
+pub mod precedence;
+pub mod pressure;
 pub mod signal;
 pub mod split;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -278,8 +278,32 @@
     share.clamp(0.0, 1.0) * STALE_PENALTY_SHARE * profile.target_ms
 }
 
-/// Position of a candidate, its prediction and its sort key.
-type Scored = (usize, Prediction, (bool, f64));
+/// What candidates are compared by.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms<'a> {
+    /// Cost profile of the request.
+    pub profile: RequestProfile,
+    /// Costs of the links to servers.
+    pub links: &'a Links,
+    /// What they are ranked for.
+    pub purpose: Purpose,
+}
+
+/// Change of a candidate's rank by what its prediction does not include.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Adjustment {
+    /// Whether the request may not be sent there, so that the candidate ranks behind all others.
+    pub is_barred: bool,
+    /// Milliseconds added to its cost.
+    pub extra_ms: f64,
+}
+
+/// Function that returns the adjustment of the candidate at a position.
+pub type Adjust<'a> = &'a mut dyn FnMut(usize, &Prediction) -> Adjustment;
+
+/// Position of a candidate, its prediction and its sort key: whether it is barred, whether its
+/// report is outdated, and its cost.
+type Scored = (usize, Prediction, ((bool, bool), f64));
 
 /// Returns the positions and predictions of the best of `candidates`, best first.
 ///
@@ -293,6 +317,33 @@
     purpose: Purpose,
     rng: &mut dyn rng::Rng,
 ) -> Vec<(usize, Prediction)> {
+    let terms = Terms {
+        profile,
+        links,
+        purpose,
+    };
+    rank_adjusted(
+        now,
+        candidates,
+        terms,
+        &mut |_, _| Adjustment::default(),
+        rng,
+    )
+}
+
+/// Like [`rank`], with an adjustment of each candidate.
+pub fn rank_adjusted(
+    now: clock::Millis,
+    candidates: &[Candidate<'_>],
+    terms: Terms<'_>,
+    adjust: Adjust<'_>,
+    rng: &mut dyn rng::Rng,
+) -> Vec<(usize, Prediction)> {
+    let Terms {
+        profile,
+        links,
+        purpose,
+    } = terms;
     let mut ranked: Vec<_> = candidates
         .iter()
         .enumerate()
@@ -306,8 +357,10 @@
                     stale_penalty_ms(&prediction, &profile),
                 ),
             };
-            let cost_ms = (prediction.cost_ms + stale_penalty_ms) * jitter;
-            (n, prediction, (is_outdated, cost_ms))
+            let adjustment = adjust(n, &prediction);
+            let cost_ms = (prediction.cost_ms + stale_penalty_ms + adjustment.extra_ms) * jitter;
+            let key = ((adjustment.is_barred, is_outdated), cost_ms);
+            (n, prediction, key)
         })
         .collect();
     let by_cost = |a: &Scored, b: &Scored| (a.2.0.cmp(&b.2.0)).then(a.2.1.total_cmp(&b.2.1));
--- /dev/null
+++ b/crates/dispatch/tests/overload.rs
@@ -0,0 +1,177 @@
+//! Replays of rushes at a service with requests of several priorities, against two baselines:
+//! priorities ignored, and strict priority.
+
+mod service;
+
+use nutmegdale_dispatch::precedence;
+use service::{Count, Kind, Load, Policy, Replay};
+
+const URGENT: Kind = Kind {
+    priority: 0,
+    work_ms: 43.0,
+    target_ms: 150,
+    deadline_ms: 1_500,
+    per_s: 21.0,
+    rush: 1.0,
+};
+const MIDDLE: Kind = Kind {
+    priority: 1,
+    work_ms: 110.0,
+    target_ms: 300,
+    deadline_ms: 3_000,
+    per_s: 20.0,
+    rush: 1.0,
+};
+const PATIENT: Kind = Kind {
+    priority: 2,
+    work_ms: 270.0,
+    target_ms: 1_200,
+    deadline_ms: 6_000,
+    per_s: 28.0,
+    rush: 1.0,
+};
+
+fn load(seed: u64, rushes: [f64; 3]) -> Load {
+    let kinds = [URGENT, MIDDLE, PATIENT];
+    let with_rush = |(kind, rush)| Kind { rush, ..kind };
+    Load {
+        seed,
+        kinds: kinds.into_iter().zip(rushes).map(with_rush).collect(),
+        servers: 15,
+        processes: 20,
+        slow_servers: 0,
+        shed_share: 0.0,
+    }
+}
+
+/// Runs the policy under test and checks what holds under every load: a more urgent kind is served
+/// at least as often as a less urgent one, none earns so much less than a less urgent one that it
+/// counts as an inversion, and none starves.
+///
+/// The target shares differ by a little without any shortage too, since the least urgent kind has
+/// the longest target compared with its work, and VMs are slow for half a second at a time.
+fn run_checked(load: &Load) -> Vec<Count> {
+    let counts = Replay::run(load, Policy::Precedence);
+    let sum = |of: fn(&Count) -> usize| counts.iter().map(of).sum::<usize>() as f64;
+    let all_served_share = sum(|count| count.served) / sum(|count| count.callers);
+    for (n, count) in counts.iter().enumerate() {
+        let served_share = count.served_share();
+        assert!(served_share > all_served_share / 4.0, "{counts:?}");
+        for other in &counts[n + 1..] {
+            assert!(served_share >= other.served_share() - 0.01, "{counts:?}");
+            let slack = if n == 0 { 0.05 } else { 0.15 };
+            assert!(
+                count.target_share() >= other.target_share() - slack,
+                "{counts:?}"
+            );
+        }
+    }
+    counts
+}
+
+/// Returns the sum of a share over all kinds.
+fn sum(counts: &[Count], share: fn(&Count) -> f64) -> f64 {
+    counts.iter().map(share).sum()
+}
+
+/// Guards against patient requests that fill all servers in a rush, so that urgent ones miss their
+/// target; and against a strict rule that turns away more than it must.
+#[test]
+fn rush_of_the_least_urgent_kind_leaves_room_for_urgent_ones() {
+    let load = load(1, [1.0, 1.0, 6.0]);
+    let today = Replay::run(&load, Policy::Today);
+    let strict = Replay::run(&load, Policy::Strict);
+    let counts = run_checked(&load);
+    assert!(
+        counts[0].target_share() > today[0].target_share() + 0.2,
+        "{counts:?} {today:?}"
+    );
+    assert!(
+        counts[1].target_share() > today[1].target_share() + 0.2,
+        "{counts:?} {today:?}"
+    );
+    assert!(counts[2].served > strict[2].served, "{counts:?} {strict:?}");
+    assert!(counts[1].served > strict[1].served, "{counts:?} {strict:?}");
+}
+
+/// Guards against a rush in which the kinds with the longest deadlines win, since only their
+/// requests may queue.
+#[test]
+fn rush_of_all_kinds_serves_the_most_urgent_first() {
+    let load = load(2, [5.0, 5.0, 5.0]);
+    let today = Replay::run(&load, Policy::Today);
+    let strict = Replay::run(&load, Policy::Strict);
+    let counts = run_checked(&load);
+    assert!(
+        counts[0].target_share() > today[0].target_share() + 0.3,
+        "{counts:?} {today:?}"
+    );
+    assert!(
+        sum(&counts, Count::target_share) > sum(&today, Count::target_share) + 0.3,
+        "{counts:?} {today:?}"
+    );
+    assert!(
+        sum(&counts, Count::served_share) > sum(&strict, Count::served_share) + 0.2,
+        "{counts:?} {strict:?}"
+    );
+}
+
+/// Guards against rejections by servers with free slots that look like a shortage.
+#[test]
+fn rejections_by_servers_with_free_slots_are_no_shortage() {
+    let load = Load {
+        shed_share: 0.27,
+        ..load(3, [2.0, 2.0, 2.0])
+    };
+    let strict = Replay::run(&load, Policy::Strict);
+    let counts = run_checked(&load);
+    assert!(sum(&counts, Count::served_share) > 2.99, "{counts:?}");
+    assert!(
+        sum(&counts, Count::target_share) > sum(&strict, Count::target_share) + 0.1,
+        "{counts:?} {strict:?}"
+    );
+}
+
+/// Guards against urgent requests that are late because half of the servers are slow.
+#[test]
+fn urgent_requests_get_the_fast_half_of_the_servers() {
+    let load = Load {
+        slow_servers: 7,
+        ..load(4, [1.5, 1.5, 1.5])
+    };
+    let today = Replay::run(&load, Policy::Today);
+    let counts = run_checked(&load);
+    assert!(
+        counts[0].target_share() > today[0].target_share() + 0.2,
+        "{counts:?} {today:?}"
+    );
+}
+
+/// Guards against limits at a service whose requests all have the same priority, or while it is not
+/// short of capacity.
+#[test]
+fn one_priority_or_low_pressure_limits_nothing() {
+    assert_eq!(precedence::Levels::new([2, 2]).standing(2), None);
+    let levels = precedence::Levels::new([2, 0, 2, 1]);
+    let last = levels.standing(2).expect("there are several priorities");
+    assert_eq!(last, precedence::Standing { rank: 2, count: 3 });
+    let calm = precedence::Allowance::new(last, 0.4, false);
+    assert_eq!(calm, precedence::Allowance::ALL);
+    let first = levels.standing(0).expect("there are several priorities");
+    let full = precedence::Allowance::new(first, 2.0, false);
+    assert_eq!(full, precedence::Allowance::ALL);
+}
+
+/// Guards against starvation: whatever the pressure, a server with several slots takes the least
+/// urgent requests too.
+#[test]
+fn least_urgent_requests_keep_part_of_every_server() {
+    let levels = precedence::Levels::new([0, 1]);
+    let last = levels.standing(1).expect("there are several priorities");
+    let allowance = precedence::Allowance::new(last, 9.0, false);
+    for n in 0..100 {
+        let position = precedence::position(&format!("server-{n}"));
+        assert!(allowance.allows(position, 1, 3) && !allowance.allows(position, 2, 3));
+        assert!(allowance.allows(position, 0, 1));
+    }
+}
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -2,7 +2,7 @@
 
 use crate::pool;
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{availability, cold, health, placement, signal};
+use nutmegdale_dispatch::{availability, cold, health, placement, precedence, signal};
 use nutmegdale_registry::server;
 use std::sync;
 use std::sync::atomic;
@@ -56,6 +56,8 @@
     pub region: String,
     /// Network distance from this process.
     pub distance: placement::Distance,
+    /// Position in the order in which servers keep a slot free for urgent requests.
+    pub position: u32,
     /// Load reports and in-flight requests.
     pub signal: signal::Signal,
     /// Failure statistics for outlier ejection.
@@ -95,6 +97,7 @@
             availability,
             leaving,
             pool: pool::Pool::new(announcement.address),
+            position: precedence::position(&announcement.id),
             announcement,
             region,
             distance,
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -66,6 +66,14 @@
             )
             .expect("string can be written");
         }
+        if let Some(reserved) = &rejection.reserved {
+            write!(
+                self.text,
+                " pressure={:.2} reserved-for={}",
+                reserved.pressure, reserved.for_priority
+            )
+            .expect("string can be written");
+        }
     }
 
     /// Appends the trigger of a hedge.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -279,6 +279,7 @@
             estimate: &self.route.estimate,
             home_regions: &self.route.spec.home_regions,
             priority: self.priority,
+            is_returning: self.waited_before > clock::Millis::ZERO,
             tried: &self.tried,
             time_left: self.time_left(call),
             is_trial: self.is_trial,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`proxy`] handles a request from its head to its
 //! outcome. `exchange` makes its attempts, including retries and hedges; `hedge_timer` decides when
 //! a hedge is due. [`picker`] applies the decisions of `nutmegdale-dispatch` to pick a server after
-//! the health checks of [`probe`]. Only [`attempt`] writes requests to servers, over connections
+//! the health checks of [`probe`], and [`precedence`] keeps slots free for urgent requests. Only [`attempt`] writes requests to servers, over connections
 //! from [`pool`]; [`buffer`] limits the memory of buffered bodies; `in_flight` records what each attempt tells of its server, and [`server_traffic`]
 //! counts bytes. [`directory`] selects the addresses to which callers connect. Header names of a
 //! front end are known only to its [`dialect::Dialect`]. See
@@ -28,6 +28,7 @@
 pub mod payload;
 pub mod picker;
 pub mod pool;
+pub mod precedence;
 pub mod probe;
 pub mod proxy;
 pub mod server_traffic;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub hedges: atomic::AtomicU64,
     /// Retries and hedges that the retry budget did not allow.
     pub over_budget: atomic::AtomicU64,
+    /// Refusals because the free slots are kept for more urgent requests.
+    pub refused_for_urgent: atomic::AtomicU64,
     /// Health checks that were started.
     pub probes: atomic::AtomicU64,
     /// Health checks that yielded no load report.
@@ -63,6 +65,11 @@
                 "Second sends that the budget did not allow.",
                 &self.over_budget,
             ),
+            counter(
+                "nutmegdale_refused_for_urgent_total",
+                "Refusals because free slots are kept for more urgent requests.",
+                &self.refused_for_urgent,
+            ),
             counter("nutmegdale_probes_total", "Health checks.", &self.probes),
             counter(
                 "nutmegdale_probes_failed_total",
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -1,6 +1,6 @@
 //! Picks the server of an attempt, after health checks of the best candidates.
 
-use crate::{backend, probe, state, table};
+use crate::{backend, metrics, precedence, probe, state, table};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use nutmegdale_base::{clock, outcome};
@@ -30,6 +30,8 @@
     pub home_regions: &'a [String],
     /// Priority of the request; 0 is the most urgent.
     pub priority: u32,
+    /// Whether its caller was refused before.
+    pub is_returning: bool,
     /// Servers to which the request was sent before; they are excluded.
     pub tried: &'a [sync::Arc<backend::Backend>],
     /// Time until its latency target and its deadline.
@@ -61,6 +63,8 @@
     pub best: Option<placement::Prediction>,
     /// Number of candidates.
     pub considered_count: usize,
+    /// Grounds if slots were left free for more urgent requests.
+    pub reserved: Option<precedence::Reserved>,
 }
 
 impl Rejection {
@@ -71,6 +75,7 @@
             retry_after,
             best: None,
             considered_count: 0,
+            reserved: None,
         }
     }
 }
@@ -98,21 +103,22 @@
 ) -> Result<Picked, Rejection> {
     let service = &table.services[query.service_index];
     let mut ranking = Ranking::default();
+    let mut limits = precedence::Limits::new(service, query);
     for (round, probe_count) in PROBE_COUNTS.into_iter().enumerate() {
         let purpose = match round {
             0 => placement::Purpose::ProbeNear(probe_count),
             _ => placement::Purpose::Probe(probe_count),
         };
-        let candidates = rank(shared, service, query, purpose);
+        let candidates = rank(shared, service, query, purpose, &mut limits);
         let probes = start_probes(shared, service, &candidates.best);
         let has_probes = !probes.is_empty();
         let is_good;
-        (ranking, is_good) = await_probes(shared, service, query, probes).await;
+        (ranking, is_good) = await_probes(shared, service, query, probes, &mut limits).await;
         if is_good || (round > 0 && !has_probes) {
             break;
         }
     }
-    admit(shared, service, ranking, query)
+    admit(shared, service, ranking, query, &limits)
 }
 
 /// Waits for health checks until a server is good enough, all have completed, or the time is up.
@@ -122,12 +128,13 @@
     service: &table::Service,
     query: &Query<'_>,
     mut probes: Probes,
+    limits: &mut precedence::Limits,
 ) -> (Ranking, bool) {
     let wait_max =
         time::Duration::from_micros((query.profile.target_ms * PROBE_WAIT_SHARE * 1000.0) as u64);
     let mut timeout = pin::pin!(tokio::time::sleep(wait_max));
     loop {
-        let ranking = rank(shared, service, query, placement::Purpose::Send);
+        let ranking = rank(shared, service, query, placement::Purpose::Send, limits);
         let best = ranking.best.first().map(|(_, prediction)| prediction);
         let best = best.filter(|best| is_quiet(best));
         if best.is_some_and(|best| best.in_flight == 0) {
@@ -141,7 +148,7 @@
             },
             // A server whose health check takes longer is ranked by its last report.
             () = &mut timeout => {
-                let ranking = rank(shared, service, query, placement::Purpose::Send);
+                let ranking = rank(shared, service, query, placement::Purpose::Send, limits);
                 return (ranking, false);
             }
         }
@@ -161,12 +168,29 @@
     service: &table::Service,
     ranking: Ranking,
     query: &Query<'_>,
+    limits: &precedence::Limits,
 ) -> Result<Picked, Rejection> {
     let now = shared.clock.now();
     let mut rng = shared.rng();
     let estimate = query.estimate;
     let mut is_trial = false;
-    if let Some((_, best)) = ranking.best.first() {
+    let is_allowed = |(backend, prediction): &&(sync::Arc<backend::Backend>, _)| {
+        limits.allows(backend, prediction)
+    };
+    let allowed = ranking.best.iter().find(is_allowed);
+    if let (None, Some((_, best))) = (allowed, ranking.best.first()) {
+        metrics::increment(&shared.metrics.refused_for_urgent);
+        let free_ms = best.response_ms - query.profile.service_time_ms;
+        let left = query.time_left.to_deadline;
+        let retry_after = admission::retry_after(free_ms, left, &mut rng);
+        return Err(Rejection {
+            best: Some(*best),
+            considered_count: ranking.considered_count,
+            reserved: Some(limits.reserved(service)),
+            ..Rejection::new(outcome::Reason::Overload, retry_after)
+        });
+    }
+    if let Some((_, best)) = allowed {
         let may_be_stale = query.is_trial || estimate.may_be_stale(now);
         match admission::decide(best, query.profile, query.time_left, may_be_stale, &mut rng) {
             admission::Decision::Admit => estimate.record_admission(),
@@ -183,12 +207,14 @@
                     retry_after,
                     best: Some(*best),
                     considered_count: ranking.considered_count,
+                    reserved: None,
                 });
             }
         }
     }
     for (backend, prediction) in ranking.best {
-        if backend.accepts(now) && backend.try_acquire(now) {
+        let is_allowed = limits.allows(&backend, &prediction);
+        if is_allowed && backend.accepts(now) && backend.try_acquire(now) {
             backend.health.begin_trial(now);
             return Ok(Picked {
                 backend,
@@ -235,6 +261,7 @@
     service: &table::Service,
     query: &Query<'_>,
     purpose: placement::Purpose,
+    limits: &mut precedence::Limits,
 ) -> Ranking {
     let now = shared.clock.now();
     let is_usable = |backend: &&sync::Arc<backend::Backend>| {
@@ -258,15 +285,16 @@
         eligible
     };
     let candidates: Vec<_> = considered.iter().map(|b| b.candidate(now)).collect();
-    let links = &crate::settings::LINKS;
-    let ranked = placement::rank(
-        now,
-        &candidates,
-        query.profile,
-        links,
+    limits.begin_pass();
+    let terms = placement::Terms {
+        profile: query.profile,
+        links: &crate::settings::LINKS,
         purpose,
-        &mut shared.rng(),
-    );
+    };
+    let adjust: placement::Adjust<'_> = &mut |n, best| limits.adjust(considered[n], best);
+    let mut rng = shared.rng();
+    let ranked = placement::rank_adjusted(now, &candidates, terms, adjust, &mut rng);
+    limits.end_pass();
     let best = ranked.into_iter();
     let best = best.map(|(n, prediction)| (sync::Arc::clone(considered[n]), prediction));
     Ranking {
--- /dev/null
+++ b/crates/gateway/src/precedence.rs
@@ -0,0 +1,96 @@
+//! Applies the priorities of a service to the servers that one request may be sent to.
+//!
+//! The decision is in `nutmegdale_dispatch::precedence`. At a service whose requests all have the
+//! same priority, a [`Limits`] costs nothing and limits nothing.
+
+use crate::{backend, picker, table};
+use nutmegdale_dispatch::{placement, precedence, pressure};
+use nutmegdale_registry::config;
+
+/// Returns the priorities of the requests that may reach a service: those of its routes, and those
+/// of the accounts, which take precedence over the routes'.
+pub(crate) fn levels(config: &config::Config, service_name: &str) -> precedence::Levels {
+    let routes = config.routes.iter().filter(|route| {
+        let mut targets = route.targets.iter();
+        targets.any(|target| target.service == service_name && target.weight > 0.0)
+    });
+    let routes = routes.map(|route| route.priority);
+    let accounts = config.accounts.iter().flatten();
+    precedence::Levels::new(routes.chain(accounts.filter_map(|account| account.priority)))
+}
+
+/// What one request may take of the servers, as of the last pass over them.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    standing: Option<precedence::Standing>,
+    is_returning: bool,
+    allowance: precedence::Allowance,
+    sample: pressure::Sample,
+}
+
+/// Refusal of a request because others at its service are more urgent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reserved {
+    /// Pressure at the service: requests at its servers per slot.
+    pub pressure: f64,
+    /// Most urgent priority of the service, for which slots are left free.
+    pub for_priority: u32,
+}
+
+impl Limits {
+    /// Creates the limits of a request before the first pass.
+    pub(crate) fn new(service: &table::Service, query: &picker::Query<'_>) -> Limits {
+        Limits {
+            standing: service.levels.standing(query.priority),
+            is_returning: query.is_returning,
+            allowance: precedence::Allowance::ALL,
+            sample: pressure::Sample::default(),
+        }
+    }
+
+    /// Returns the adjustment of a candidate, and counts its load.
+    pub(crate) fn adjust(
+        &mut self,
+        backend: &backend::Backend,
+        prediction: &placement::Prediction,
+    ) -> placement::Adjustment {
+        if self.standing.is_some() {
+            self.sample.add(prediction);
+        }
+        placement::Adjustment {
+            is_barred: !self.allows(backend, prediction),
+            extra_ms: 0.0,
+        }
+    }
+
+    /// Ends a pass over the candidates, whose load decides about the next pass.
+    pub(crate) fn end_pass(&mut self) {
+        if let Some(standing) = self.standing {
+            let pressure = self.sample.pressure();
+            self.allowance = precedence::Allowance::new(standing, pressure, self.is_returning);
+        }
+    }
+
+    /// Begins a pass over the candidates.
+    pub(crate) fn begin_pass(&mut self) {
+        self.sample = pressure::Sample::default();
+    }
+
+    /// Returns whether the request may be sent to a server.
+    pub(crate) fn allows(
+        &self,
+        backend: &backend::Backend,
+        prediction: &placement::Prediction,
+    ) -> bool {
+        let (in_flight, slots) = (prediction.in_flight, prediction.slots);
+        self.allowance.allows(backend.position, in_flight, slots)
+    }
+
+    /// Returns the grounds of a refusal under these limits.
+    pub(crate) fn reserved(&self, service: &table::Service) -> Reserved {
+        Reserved {
+            pressure: self.sample.pressure(),
+            for_priority: service.levels.most_urgent(),
+        }
+    }
+}
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,8 +1,10 @@
 //! Immutable routing table that the path of a request reads: routes, services and servers.
 
-use crate::{backend, settings};
+use crate::{backend, precedence, settings};
 use nutmegdale_base::{clock, digest};
-use nutmegdale_dispatch::{availability, budget, cold, estimate, placement, split};
+use nutmegdale_dispatch::{
+    availability, budget, cold, estimate, placement, precedence as levels, split,
+};
 use nutmegdale_registry::{config, follow, server};
 use std::cell;
 use std::collections;
@@ -46,6 +48,8 @@
     pub backends: Vec<sync::Arc<backend::Backend>>,
     /// Budget of retries and hedges.
     pub budget: sync::Arc<budget::Budget>,
+    /// Priorities of the requests that may reach it.
+    pub levels: sync::Arc<levels::Levels>,
 }
 
 /// Routes by host, in descending order of prefix length.
@@ -113,6 +117,8 @@
     /// Version of the configuration and its routes. These are reused, since servers and processes
     /// change far more often and a configuration may have more than a thousand routes.
     routes: (u64, sync::Arc<Routes>),
+    /// Priorities at each service, which are reused like the routes.
+    levels: collections::HashMap<String, sync::Arc<levels::Levels>>,
     zones_out: collections::BTreeSet<String>,
 }
 
@@ -127,6 +133,7 @@
             estimates: collections::HashMap::new(),
             splitters: collections::HashMap::new(),
             routes: (0, sync::Arc::default()),
+            levels: collections::HashMap::new(),
             zones_out: collections::BTreeSet::new(),
         }
     }
@@ -141,15 +148,17 @@
         self.update_backends(now, copy);
         self.mark_restored_zones_cold(now, copy, config);
         let processes = Processes::new(&copy.entries);
+        if let Some(config) = config.filter(|config| config.version != self.routes.0) {
+            self.routes = (config.version, sync::Arc::new(self.build_routes(config)));
+            let names = config.services.iter().map(|service| &service.name);
+            let levels = names.map(|name| (name.clone(), precedence::levels(config, name).into()));
+            self.levels = levels.collect();
+        }
         let services = config.map_or(&[][..], |config| &config.services);
         let services: Vec<_> = services
             .iter()
             .map(|spec| self.build_service(now, spec, &processes))
             .collect();
-        if let Some(config) = config.filter(|config| config.version != self.routes.0) {
-            let routes = self.build_routes(config);
-            self.routes = (config.version, sync::Arc::new(routes));
-        }
         Table {
             config_version: copy.version,
             registry_index: copy.index,
@@ -272,6 +281,7 @@
             spec: spec.clone(),
             backends,
             budget: sync::Arc::clone(budget),
+            levels: self.levels.get(&spec.name).cloned().unwrap_or_default(),
         }
     }
 
