dispatch, gateway: scheduled return times, and rejections that are no failures

Cause: refused callers returned at random times, were refused again, and waited in vain; rejections by servers with free slots counted against their health, so that a service whose servers all reject a part lost servers by ejection; any retry could take the last token of the retry budget.

Change: dispatch::return_time hands out the places that become free in the process's share of the service, by urgency and in the order of refusal. dispatch::shedding tells rejections of a whole service from those of a failing server; after such a rejection a caller without a retry returns at once, which costs no budget. At services with several priorities, retries that are worth less leave tokens for others. A service whose requests all have one priority keeps its retry times and its budget.

Ruled out: one schedule for all priorities, and ignoring all rejections: a server that rejects everything looks idle and would get every request.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -74,10 +74,22 @@
 
     /// Withdraws one token for a retry or hedge; returns whether there was one.
     pub fn withdraw(&self, now: clock::Millis, bound: &Bound, processes: usize) -> bool {
+        self.withdraw_above(now, bound, processes, 0.0)
+    }
+
+    /// Withdraws one token if `kept` tokens are left; returns whether that was possible. The rest
+    /// is kept for retries that are worth more.
+    pub fn withdraw_above(
+        &self,
+        now: clock::Millis,
+        bound: &Bound,
+        processes: usize,
+        kept: f64,
+    ) -> bool {
         let mut tokens = self.tokens();
         tokens.refill(now, bound, processes);
         tokens.cap(bound, processes);
-        if tokens.count < 1.0 {
+        if tokens.count < 1.0 + kept {
             return false;
         }
         tokens.count -= 1.0;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,8 +7,9 @@
 //! candidate server and ranks them, [`estimate`] learns the cost of a route's requests from
 //! responses, [`hedge`] decides when a hedged request is due, [`budget`] limits retries and hedges,
 //! [`split`] divides a route's requests among services, [`pressure`] measures how short of capacity a
-//! service is, [`precedence`] keeps slots free for urgent requests, and [`admission`] decides whether
-//! a request can still be served in time. Nothing here depends on HTTP; the caller is `nutmegdale-gateway`.
+//! service is, [`precedence`] keeps slots free for urgent requests, [`return_time`] tells
+//! refused callers when to return, [`shedding`] tells a service that rejects a part of its requests
+//! from a server that fails, and [`admission`] decides whether a request can still be served in time. Nothing here depends on HTTP; the caller is `nutmegdale-gateway`.
 
 pub mod admission;
 pub mod availability;
@@ -20,5 +21,7 @@
 pub mod placement;
 pub mod precedence;
 pub mod pressure;
+pub mod return_time;
+pub mod shedding;
 pub mod signal;
 pub mod split;
--- a/crates/dispatch/src/precedence.rs
+++ b/crates/dispatch/src/precedence.rs
@@ -21,6 +21,9 @@
 /// Part of the reserve that a caller who returns after a refusal respects: it has waited longer
 /// than new ones of its priority, so it goes before them.
 const RETURNING_SHARE: f64 = 0.5;
+/// Tokens of the retry budget that a retry leaves for others that are worth more. A process with a
+/// few requests a second holds two or three.
+const KEPT_TOKENS: f64 = 0.6;
 /// Number of distinct positions of servers.
 const POSITIONS_COUNT: u64 = 1_000;
 
@@ -55,6 +58,13 @@
     }
 }
 
+/// Returns the tokens of the retry budget that a retry leaves for others: the more urgent ones, and
+/// those that can still meet their target latency.
+pub fn kept_tokens(standing: Standing, can_meet_target: bool) -> f64 {
+    let for_urgent = if standing.rank > 0 { KEPT_TOKENS } else { 0.0 };
+    for_urgent + if can_meet_target { 0.0 } else { KEPT_TOKENS }
+}
+
 /// Place of a priority among those of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Standing {
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -3,7 +3,8 @@
 
 mod service;
 
-use nutmegdale_dispatch::precedence;
+use nutmegdale_base::clock;
+use nutmegdale_dispatch::{precedence, return_time, shedding};
 use service::{Count, Kind, Load, Policy, Replay};
 
 const URGENT: Kind = Kind {
@@ -51,7 +52,7 @@
 /// The target shares differ by a little without any shortage too, since the least urgent kind has
 /// the longest target compared with its work, and VMs are slow for half a second at a time.
 fn run_checked(load: &Load) -> Vec<Count> {
-    let counts = Replay::run(load, Policy::Precedence);
+    let counts = Replay::run(load, Policy::Scheduled);
     let sum = |of: fn(&Count) -> usize| counts.iter().map(of).sum::<usize>() as f64;
     let all_served_share = sum(|count| count.served) / sum(|count| count.callers);
     for (n, count) in counts.iter().enumerate() {
@@ -175,3 +176,88 @@
         assert!(allowance.allows(position, 0, 1));
     }
 }
+
+/// Guards against callers that return at random times and are refused again and again.
+#[test]
+fn callers_return_when_places_become_free() {
+    for (seed, rushes) in [(5, [1.0, 1.0, 6.0]), (6, [5.0, 5.0, 5.0])] {
+        let load = load(seed, rushes);
+        let at_random = Replay::run(&load, Policy::Precedence);
+        let scheduled = run_checked(&load);
+        let refusals = |counts: &[Count]| counts.iter().map(|count| count.refusals).sum::<usize>();
+        assert!(
+            refusals(&scheduled) * 2 < refusals(&at_random),
+            "{scheduled:?} {at_random:?}"
+        );
+        let served = sum(&at_random, Count::served_share);
+        assert!(
+            sum(&scheduled, Count::served_share) > served - 0.05,
+            "{scheduled:?}"
+        );
+    }
+}
+
+/// Guards against times that do not follow the order of refusal and urgency, or that take more than
+/// a third of the caller's time.
+#[test]
+fn callers_return_in_the_order_of_refusal_and_urgency() {
+    let share = return_time::Share {
+        slots: 60,
+        processes: 10,
+        service_time_ms: 90.0,
+    };
+    let schedule = return_time::Schedule::default();
+    let [urgent, patient] = [0, 1].map(|rank| precedence::Standing { rank, count: 2 });
+    let mut last = clock::Millis::ZERO;
+    for n in 0..100 {
+        let now = clock::Millis(1_000 + n);
+        let wait = schedule.book(now, patient, share, 80.0, clock::Millis(3_000));
+        assert!(
+            wait.0 <= 1_000 && now + wait > last,
+            "{n}: {wait} after {last}"
+        );
+        last = now + wait;
+    }
+    let now = clock::Millis(1_100);
+    let left = clock::Millis(1_500);
+    let first = schedule.book(now, urgent, share, 80.0, left);
+    let second = schedule.book(now, urgent, share, 80.0, left);
+    assert_eq!(
+        (first.0, second.0),
+        (80, 110),
+        "urgent callers wait for no others"
+    );
+    let brief = schedule.book(now, patient, share, 80.0, clock::Millis(90));
+    assert_eq!(brief, clock::Millis(30));
+}
+
+/// Guards against healthy servers that are ejected because the whole service rejects some requests,
+/// and against a failing server that is not, since it rejects all.
+#[test]
+fn rejections_of_a_whole_service_eject_no_server() {
+    let shedding = shedding::Shedding::default();
+    let streaks: Vec<_> = (0..20).map(|_| shedding::Streak::default()).collect();
+    let now = clock::Millis(10_000);
+    for n in 0..20_u32 {
+        let is_failure = shedding.record(now, n, &streaks[n as usize]);
+        assert_eq!(is_failure, n < 2, "{n}");
+    }
+    assert!(shedding.is_active(now));
+    let later = now + clock::Millis(6_000);
+    assert!(!shedding.is_active(later));
+    assert!(
+        shedding.record(later, 7, &streaks[7]),
+        "no other server rejects any more"
+    );
+    streaks[8].end();
+    let failing = (0..6).map(|n| {
+        shedding.record(later, 8, &streaks[8]);
+        shedding.record(later, 9 + n, &streaks[9 + n as usize])
+    });
+    let spared = failing.filter(|is_failure| !is_failure).count();
+    assert_eq!(spared, 6, "servers 7 and 8 reject too");
+    assert!(
+        shedding.record(later, 8, &streaks[8]),
+        "it has rejected many in a row"
+    );
+}
--- a/crates/dispatch/tests/service/mod.rs
+++ b/crates/dispatch/tests/service/mod.rs
@@ -3,7 +3,8 @@
 
 use nutmegdale_base::rng::Rng;
 use nutmegdale_base::{clock, rng};
-use nutmegdale_dispatch::{admission, health, placement, precedence, pressure, signal};
+use nutmegdale_dispatch::{admission, budget, health, placement, precedence, pressure};
+use nutmegdale_dispatch::{return_time, shedding, signal};
 use std::collections;
 
 pub(crate) const SLOTS_COUNT: usize = 3;
@@ -44,8 +45,10 @@
     Today,
     /// Requests that are not the most urgent are refused as soon as pressure rises.
     Strict,
-    /// The decisions under test.
+    /// Slots are left free, but callers return after a time with jitter.
     Precedence,
+    /// All decisions under test.
+    Scheduled,
 }
 
 pub(crate) struct Load {
@@ -106,20 +109,30 @@
     arriving: collections::BTreeMap<u64, Vec<Request>>,
     sent: collections::VecDeque<(u64, usize, Request)>,
     counts: Vec<Count>,
+    schedules: Vec<return_time::Schedule>,
+    budgets: Vec<budget::Budget>,
+    shedding: Vec<shedding::Shedding>,
+    health: Vec<Vec<health::Health>>,
+    streaks: Vec<Vec<shedding::Streak>>,
 }
 
+const RETRIES: budget::Bound = budget::Bound {
+    ratio: 0.2,
+    slack: 168.0,
+    window: clock::Millis(10_000),
+};
+
 const RUSH: std::ops::Range<u64> = 2_000..6_000;
 const END_MS: u64 = 7_000;
 
 impl<'a> Replay<'a> {
     pub(crate) fn run(load: &'a Load, policy: Policy) -> Vec<Count> {
-        let signals = |_| (0..load.servers).map(|_| signal::Signal::default());
         let mut replay = Replay {
             load,
             policy,
             rng: rng::SplitMix64::new(load.seed),
             servers: (0..load.servers).map(|_| Server::default()).collect(),
-            signals: (0..load.processes).map(|n| signals(n).collect()).collect(),
+            signals: of_servers(load),
             levels: precedence::Levels::new(load.kinds.iter().map(|kind| kind.priority)),
             positions: (0..load.servers)
                 .map(|n| precedence::position(&format!("server-{n}")))
@@ -127,6 +140,13 @@
             arriving: collections::BTreeMap::new(),
             sent: collections::VecDeque::new(),
             counts: vec![Count::default(); load.kinds.len()],
+            schedules: (0..load.processes).map(|_| Default::default()).collect(),
+            budgets: (0..load.processes)
+                .map(|_| budget::Budget::new(clock::Millis::ZERO, &RETRIES, load.processes))
+                .collect(),
+            shedding: (0..load.processes).map(|_| Default::default()).collect(),
+            health: of_servers(load),
+            streaks: of_servers(load),
         };
         for ms in 0..END_MS + 7_000 {
             replay.step(ms);
@@ -171,6 +191,8 @@
         for mut request in self.arriving.remove(&ms).unwrap_or_default() {
             request.process = self.rng.below(self.load.processes as u64) as usize;
             request.attempts = 0;
+            let now = clock::Millis(ms);
+            self.budgets[request.process].deposit(now, &RETRIES, self.load.processes);
             self.decide(ms, request);
         }
     }
@@ -187,6 +209,7 @@
             request.left_ms -= step;
         }
         let (load, signals, counts) = (self.load, &self.signals, &mut self.counts);
+        let (health, streaks) = (&self.health, &self.streaks);
         server.running.retain(|request| {
             let kind = &load.kinds[request.kind];
             let took = ms - request.started;
@@ -195,6 +218,8 @@
                 signals[request.process][n].end();
             }
             if request.left_ms <= 0.0 {
+                health[request.process][n].record_success();
+                streaks[request.process][n].end();
                 counts[request.kind].served += 1;
                 counts[request.kind].in_target += usize::from(took <= kind.target_ms);
             }
@@ -217,11 +242,41 @@
             report(&self.servers[n]),
             signal.in_flight(),
         );
+        self.reject(ms, n, request);
+    }
+
+    /// Processes a rejection of a server, which says that the request did not run.
+    fn reject(&mut self, ms: u64, n: usize, mut request: Request) {
+        let (now, process) = (clock::Millis(ms), request.process);
+        let kind = self.load.kinds[request.kind];
+        let is_new = self.policy == Policy::Scheduled;
+        if self.servers[n].running.len() < SLOTS_COUNT {
+            let streak = &self.streaks[process][n];
+            let is_failure = self.shedding[process].record(now, n as u32, streak);
+            if is_failure || !is_new {
+                self.health[process][n].record_failure(now, health::Failure::Answer);
+            }
+        }
         request.attempts += 1;
-        match request.attempts < ATTEMPTS_MAX {
-            true => self.decide(ms, request),
-            false => self.refuse(ms, request, 50),
+        let standing = self.levels.standing(kind.priority);
+        let can_meet_target = ms + kind.work_ms as u64 <= request.started + kind.target_ms;
+        let kept = match standing {
+            Some(standing) if is_new => precedence::kept_tokens(standing, can_meet_target),
+            _ => 0.0,
+        };
+        let budget = &self.budgets[process];
+        if request.attempts < ATTEMPTS_MAX
+            && budget.withdraw_above(now, &RETRIES, self.load.processes, kept)
+        {
+            return self.decide(ms, request);
         }
+        let is_shed = is_new && self.shedding[process].is_active(now);
+        let retry_after = if is_shed {
+            20
+        } else {
+            (kind.work_ms / 2.0) as u64
+        };
+        self.refuse(ms, request, retry_after);
     }
 
     fn refuse(&mut self, ms: u64, request: Request, retry_after: u64) {
@@ -278,12 +333,11 @@
         let decision = admission::decide(&best, profile, time, false, &mut self.rng);
         let is_barred = !allows(allowance, self.positions[n], &best);
         match decision {
-            admission::Decision::Refuse { retry_after } => self.refuse(ms, request, retry_after.0),
-            _ if is_barred => {
-                let free_ms = best.response_ms - kind.work_ms;
-                let retry_after = admission::retry_after(free_ms, time.to_deadline, &mut self.rng);
+            admission::Decision::Refuse { retry_after } if self.policy != Policy::Scheduled => {
                 self.refuse(ms, request, retry_after.0);
             }
+            admission::Decision::Refuse { .. } => self.schedule(ms, request, best.response_ms),
+            _ if is_barred => self.schedule(ms, request, best.response_ms),
             _ => {
                 self.signals[request.process][n].begin();
                 self.sent.push_back((ms + SEND_MS, n, request));
@@ -291,6 +345,27 @@
         }
     }
 
+    /// Refuses a request with a time to return.
+    fn schedule(&mut self, ms: u64, request: Request, response_ms: f64) {
+        let kind = self.load.kinds[request.kind];
+        let free_ms = response_ms - kind.work_ms;
+        let left = clock::Millis(kind.deadline_ms.saturating_sub(ms - request.started));
+        let standing = self.levels.standing(kind.priority);
+        let retry_after = match standing {
+            Some(standing) if self.policy == Policy::Scheduled => {
+                let share = return_time::Share {
+                    slots: (self.load.servers * SLOTS_COUNT) as u32,
+                    processes: self.load.processes,
+                    service_time_ms: kind.work_ms,
+                };
+                let schedule = &self.schedules[request.process];
+                schedule.book(clock::Millis(ms), standing, share, free_ms, left)
+            }
+            _ => admission::retry_after(free_ms, left, &mut self.rng),
+        };
+        self.refuse(ms, request, retry_after.0);
+    }
+
     fn allowance(
         &self,
         standing: precedence::Standing,
@@ -299,7 +374,9 @@
     ) -> Option<precedence::Allowance> {
         Some(match self.policy {
             Policy::Today => precedence::Allowance::ALL,
-            Policy::Precedence => precedence::Allowance::new(standing, pressure, is_returning),
+            Policy::Precedence | Policy::Scheduled => {
+                precedence::Allowance::new(standing, pressure, is_returning)
+            }
             Policy::Strict if standing.rank > 0 && pressure > 0.45 => return None,
             Policy::Strict => precedence::Allowance::ALL,
         })
@@ -313,18 +390,22 @@
         purpose: placement::Purpose,
         allowance: Option<precedence::Allowance>,
     ) -> (Vec<(usize, placement::Prediction)>, pressure::Sample) {
-        let health = health::Health::default();
         let own = &self.signals[process];
-        let candidates: Vec<_> = own
+        let health = &self.health[process];
+        let ejected = |n: &usize| !health[*n].is_eligible(now);
+        let mut considered: Vec<_> = (0..own.len()).filter(|n| !ejected(n)).collect();
+        if considered.is_empty() {
+            considered = (0..own.len()).collect();
+        }
+        let candidates: Vec<_> = considered
             .iter()
-            .enumerate()
-            .map(|(n, signal)| placement::Candidate {
-                signal,
-                health: &health,
+            .map(|n| placement::Candidate {
+                signal: &own[*n],
+                health: &health[*n],
                 slots: SLOTS_COUNT as u32,
                 distance: placement::Distance::Zone,
                 is_cold: false,
-                is_preferred: (n + process) % self.load.servers < placement::PREFERRED_COUNT,
+                is_preferred: (*n + process) % self.load.servers < placement::PREFERRED_COUNT,
             })
             .collect();
         let mut sample = pressure::Sample::default();
@@ -332,7 +413,7 @@
         let adjust: placement::Adjust<'_> = &mut |n, prediction| {
             sample.add(prediction);
             placement::Adjustment {
-                is_barred: !allows(allowance, positions[n], prediction),
+                is_barred: !allows(allowance, positions[considered[n]], prediction),
                 extra_ms: 0.0,
             }
         };
@@ -343,10 +424,16 @@
             purpose,
         };
         let ranked = placement::rank_adjusted(now, &candidates, terms, adjust, rng);
-        (ranked, sample)
+        let ranked = ranked.into_iter().map(|(n, best)| (considered[n], best));
+        (ranked.collect(), sample)
     }
 }
 
+fn of_servers<T: Default>(load: &Load) -> Vec<Vec<T>> {
+    let servers = |_| (0..load.servers).map(|_| T::default()).collect();
+    (0..load.processes).map(servers).collect()
+}
+
 fn report(server: &Server) -> signal::Report {
     signal::Report {
         running: server.running.len() as u32,
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,8 +1,8 @@
 //! Runtime state of one incarnation of a backend server.
 
-use crate::pool;
+use crate::{pool, precedence as refusals};
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{availability, cold, health, placement, precedence, signal};
+use nutmegdale_dispatch::{availability, cold, health, placement, precedence, shedding, signal};
 use nutmegdale_registry::server;
 use std::sync;
 use std::sync::atomic;
@@ -66,6 +66,10 @@
     pub availability: availability::Availability,
     /// Servers that are leaving, which outlives this state.
     leaving: sync::Arc<availability::LeavingServers>,
+    /// Recent refusals at its service.
+    pub refusals: sync::Arc<refusals::Refusals>,
+    /// Rejections in a row although it had free slots.
+    pub streak: shedding::Streak,
     /// Rate limiter while the server is cold.
     pub pacer: cold::Pacer,
     /// Connection pool.
@@ -88,6 +92,7 @@
         region: String,
         distance: placement::Distance,
         leaving: sync::Arc<availability::LeavingServers>,
+        refusals: sync::Arc<refusals::Refusals>,
     ) -> Backend {
         let availability = availability::Availability::default();
         if leaving.contains(&announcement.id, announcement.born) {
@@ -96,6 +101,8 @@
         Backend {
             availability,
             leaving,
+            refusals,
+            streak: shedding::Streak::default(),
             pool: pool::Pool::new(announcement.address),
             position: precedence::position(&announcement.id),
             announcement,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 //! written to another server only if the last one stated that it did not run it; retries and hedges
 //! stay within the retry budget of their service.
 
-use crate::{attempt, backend, call, hedge_timer, metrics, payload, picker, state, table};
+use crate::{attempt, backend, call, hedge_timer, metrics, payload, picker, precedence, table};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use nutmegdale_base::{class, clock, outcome};
@@ -313,7 +313,7 @@
             return None;
         }
         if self.attempts_count > 0
-            && !self.withdraw_budget(shared, &target.table, target.service_index)
+            && !self.withdraw_budget(call, &target.table, target.service_index)
         {
             call.trace.push_event(call.elapsed(), "over-budget");
             return None;
@@ -355,13 +355,18 @@
     /// Withdraws one retry or hedge from the budget; returns whether that was possible.
     fn withdraw_budget(
         &mut self,
-        shared: &state::Shared,
+        call: &call::Call<'_>,
         table: &table::Table,
         service_index: usize,
     ) -> bool {
+        let shared = call.shared;
+        let to_target = self.time_left(call).to_target;
+        let service_time_ms = self.route.estimate.service_time_ms();
+        let service = &table.services[service_index];
+        let kept = precedence::kept_tokens(service, self.priority, to_target, service_time_ms);
         let bound = &shared.settings.bounds.retry_budget;
-        let budget = &table.services[service_index].budget;
-        let is_allowed = budget.withdraw(shared.clock.now(), bound, table.processes_count());
+        let (budget, now) = (&service.budget, shared.clock.now());
+        let is_allowed = budget.withdraw_above(now, bound, table.processes_count(), kept);
         match is_allowed {
             true => self.withdrawn.push(sync::Arc::clone(budget)),
             false => metrics::increment(&shared.metrics.over_budget),
@@ -469,13 +474,16 @@
         let mut services = table.services.iter();
         let service = services.find(|service| service.spec.name == self.service_name);
         let home_regions = &self.route.spec.home_regions;
-        let backoff_left = service.and_then(|service| {
-            picker::backoff_left(service, home_regions, call.shared.clock.now())
-        });
+        let now = call.shared.clock.now();
+        let backoff_left =
+            service.and_then(|service| picker::backoff_left(service, home_regions, now));
         match backoff_left {
             Some(left) => {
                 admission::retry_after_backoff(left, call.time_left(), &mut call.shared.rng())
             }
+            None if service.is_some_and(|service| service.refusals.shedding.is_active(now)) => {
+                precedence::SHED_RETRY_MS.min(clock::Millis(call.time_left().0 / 3))
+            }
             // About half of the requests that run on the server will have ended by then.
             None => clock::Millis((self.route.estimate.service_time_ms() / 2.0) as u64),
         }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -1,6 +1,6 @@
 //! Guard of a request in flight: what its server's load and health statistics learn from it.
 
-use crate::{attempt, backend, dialect, state};
+use crate::{attempt, backend, dialect, metrics, state};
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::health;
 use std::sync;
@@ -84,13 +84,19 @@
     }
 
     /// Records that the server rejected the request. This counts as a failure only if the server
-    /// reports free slots and gives no time for which it wants no requests.
+    /// reports free slots and gives no time for which it wants no requests, and if it is not one of
+    /// several that reject a part of their requests.
     pub(crate) fn record_refusal(&mut self, metadata: &dialect::Response<'_>) {
         self.is_settled = true;
         match metadata.report {
             Some(_) if metadata.backoff.is_some() || metadata.is_leaving => {}
             Some(report) if report.running < report.slots => {
-                self.record_failure(health::Failure::Answer);
+                let shedding = &self.backend.refusals.shedding;
+                let (server, streak) = (self.backend.position, &self.backend.streak);
+                match shedding.record(self.now(), server, streak) {
+                    true => self.record_failure(health::Failure::Answer),
+                    false => metrics::increment(&self.shared.0.metrics.rejections_shed),
+                }
             }
             Some(_) => {}
             None => self.backend.signal.record_full(self.now()),
@@ -114,6 +120,7 @@
             return;
         }
         self.backend.health.record_success();
+        self.backend.streak.end();
         self.record_response_time(self.now().since(self.started));
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     pub over_budget: atomic::AtomicU64,
     /// Refusals because the free slots are kept for more urgent requests.
     pub refused_for_urgent: atomic::AtomicU64,
+    /// Rejections by servers with free slots that do not count against their health.
+    pub rejections_shed: atomic::AtomicU64,
     /// Health checks that were started.
     pub probes: atomic::AtomicU64,
     /// Health checks that yielded no load report.
@@ -70,6 +72,11 @@
                 "Refusals because free slots are kept for more urgent requests.",
                 &self.refused_for_urgent,
             ),
+            counter(
+                "nutmegdale_rejections_shed_total",
+                "Rejections by servers with free slots while others reject some requests too.",
+                &self.rejections_shed,
+            ),
             counter("nutmegdale_probes_total", "Health checks.", &self.probes),
             counter(
                 "nutmegdale_probes_failed_total",
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -118,7 +118,7 @@
             break;
         }
     }
-    admit(shared, service, ranking, query, &limits)
+    admit(shared, table, ranking, query, &limits)
 }
 
 /// Waits for health checks until a server is good enough, all have completed, or the time is up.
@@ -165,11 +165,12 @@
 /// grants one.
 fn admit(
     shared: &state::Shared,
-    service: &table::Service,
+    table: &table::Table,
     ranking: Ranking,
     query: &Query<'_>,
     limits: &precedence::Limits,
 ) -> Result<Picked, Rejection> {
+    let service = &table.services[query.service_index];
     let now = shared.clock.now();
     let mut rng = shared.rng();
     let estimate = query.estimate;
@@ -180,9 +181,8 @@
     let allowed = ranking.best.iter().find(is_allowed);
     if let (None, Some((_, best))) = (allowed, ranking.best.first()) {
         metrics::increment(&shared.metrics.refused_for_urgent);
-        let free_ms = best.response_ms - query.profile.service_time_ms;
-        let left = query.time_left.to_deadline;
-        let retry_after = admission::retry_after(free_ms, left, &mut rng);
+        let retry_after = limits.return_time(now, table, query, best.response_ms);
+        let retry_after = retry_after.unwrap_or_default();
         return Err(Rejection {
             best: Some(*best),
             considered_count: ranking.considered_count,
@@ -202,9 +202,10 @@
                 if best.has_room {
                     estimate.record_refusal(now);
                 }
+                let scheduled = limits.return_time(now, table, query, best.response_ms);
                 return Err(Rejection {
                     reason: outcome::Reason::Overload,
-                    retry_after,
+                    retry_after: scheduled.unwrap_or(retry_after),
                     best: Some(*best),
                     considered_count: ranking.considered_count,
                     reserved: None,
--- a/crates/gateway/src/precedence.rs
+++ b/crates/gateway/src/precedence.rs
@@ -4,7 +4,8 @@
 //! same priority, a [`Limits`] costs nothing and limits nothing.
 
 use crate::{backend, picker, table};
-use nutmegdale_dispatch::{placement, precedence, pressure};
+use nutmegdale_base::clock;
+use nutmegdale_dispatch::{placement, precedence, pressure, return_time, shedding};
 use nutmegdale_registry::config;
 
 /// Returns the priorities of the requests that may reach a service: those of its routes, and those
@@ -19,6 +20,33 @@
     precedence::Levels::new(routes.chain(accounts.filter_map(|account| account.priority)))
 }
 
+/// What a process remembers of the refusals at one service; it is kept when the table is rebuilt.
+#[derive(Debug, Default)]
+pub struct Refusals {
+    /// Times at which refused callers were told to return.
+    pub schedule: return_time::Schedule,
+    /// Rejections by servers with free slots.
+    pub shedding: shedding::Shedding,
+}
+
+/// Time until a caller should return whose request was rejected by a server with free slots, in a
+/// second in which other servers reject some requests too: the next one probably takes it.
+pub(crate) const SHED_RETRY_MS: clock::Millis = clock::Millis(20);
+
+/// Returns the tokens of the retry budget that another attempt leaves for others.
+pub(crate) fn kept_tokens(
+    service: &table::Service,
+    priority: u32,
+    to_target: clock::Millis,
+    service_time_ms: f64,
+) -> f64 {
+    let can_meet_target = to_target.0 as f64 >= service_time_ms;
+    let standing = service.levels.standing(priority);
+    standing.map_or(0.0, |standing| {
+        precedence::kept_tokens(standing, can_meet_target)
+    })
+}
+
 /// What one request may take of the servers, as of the last pass over them.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Limits {
@@ -86,6 +114,28 @@
         self.allowance.allows(backend.position, in_flight, slots)
     }
 
+    /// Returns the time until the caller should return, or `None` if all requests of the service have
+    /// the same priority. `response_ms` is the prediction for the best server.
+    pub(crate) fn return_time(
+        &self,
+        now: clock::Millis,
+        table: &table::Table,
+        query: &picker::Query<'_>,
+        response_ms: f64,
+    ) -> Option<clock::Millis> {
+        let service = &table.services[query.service_index];
+        let share = return_time::Share {
+            slots: service.slots_count,
+            processes: table.processes_count(),
+            service_time_ms: query.profile.service_time_ms,
+        };
+        let free_ms = response_ms - share.service_time_ms;
+        let left = query.time_left.to_deadline;
+        let schedule = &service.refusals.schedule;
+        let standing = self.standing?;
+        Some(schedule.book(now, standing, share, free_ms, left))
+    }
+
     /// Returns the grounds of a refusal under these limits.
     pub(crate) fn reserved(&self, service: &table::Service) -> Reserved {
         Reserved {
