--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,9 +1,11 @@
 //! Immutable routing table that the path of a request reads: routes, services and servers.
 
-use crate::{backend, settings};
+use crate::{backend, precedence, settings};
 use nutmegdale_accounts::index;
 use nutmegdale_base::{clock, digest};
-use nutmegdale_dispatch::{availability, budget, cold, estimate, placement, split};
+use nutmegdale_dispatch::{
+    availability, budget, cold, estimate, placement, precedence as levels, split,
+};
 use nutmegdale_registry::{config, follow, server};
 use std::cell;
 use std::collections;
@@ -47,6 +49,12 @@
     pub backends: Vec<sync::Arc<backend::Backend>>,
     /// Budget of retries and hedges.
     pub budget: sync::Arc<budget::Budget>,
+    /// Priorities of the requests that may reach it.
+    pub levels: sync::Arc<levels::Levels>,
+    /// Slots of all its servers.
+    pub slots_count: u32,
+    /// Recent refusals of its requests.
+    pub refusals: sync::Arc<precedence::Refusals>,
 }
 
 /// Routes by host, in descending order of prefix length.
@@ -118,6 +126,9 @@
     routes: (u64, sync::Arc<Routes>),
     /// Client accounts of the same version.
     accounts: Option<sync::Arc<index::Index>>,
+    /// Priorities at each service, which are reused like the routes.
+    levels: collections::HashMap<String, sync::Arc<levels::Levels>>,
+    refusals: collections::HashMap<String, sync::Arc<precedence::Refusals>>,
     zones_out: collections::BTreeSet<String>,
 }
 
@@ -133,6 +144,8 @@
             splitters: collections::HashMap::new(),
             routes: (0, sync::Arc::default()),
             accounts: None,
+            levels: collections::HashMap::new(),
+            refusals: collections::HashMap::new(),
             zones_out: collections::BTreeSet::new(),
         }
     }
@@ -147,17 +160,19 @@
         self.update_backends(now, copy);
         self.mark_restored_zones_cold(now, copy, config);
         let processes = Processes::new(&copy.entries);
+        if let Some(config) = config.filter(|config| config.version != self.routes.0) {
+            self.routes = (config.version, sync::Arc::new(self.build_routes(config)));
+            let names = config.services.iter().map(|service| &service.name);
+            let levels = names.map(|name| (name.clone(), precedence::levels(config, name).into()));
+            self.levels = levels.collect();
+            let accounts = config.accounts.as_deref();
+            self.accounts = accounts.map(|list| sync::Arc::new(index::Index::new(list)));
+        }
         let services = config.map_or(&[][..], |config| &config.services);
         let services: Vec<_> = services
             .iter()
             .map(|spec| self.build_service(now, spec, &processes))
             .collect();
-        if let Some(config) = config.filter(|config| config.version != self.routes.0) {
-            let routes = self.build_routes(config);
-            self.routes = (config.version, sync::Arc::new(routes));
-            let accounts = config.accounts.as_deref();
-            self.accounts = accounts.map(|list| sync::Arc::new(index::Index::new(list)));
-        }
         Table {
             config_version: copy.version,
             registry_index: copy.index,
@@ -209,7 +224,13 @@
             .retain(|incarnation, _| is_registered(incarnation));
     }
 
-    fn new_backend(&self, announcement: &server::Announcement) -> backend::Backend {
+    fn refusals(&mut self, service_name: &str) -> sync::Arc<precedence::Refusals> {
+        let refusals = self.refusals.entry(service_name.to_owned());
+        sync::Arc::clone(refusals.or_default())
+    }
+
+    fn new_backend(&mut self, announcement: &server::Announcement) -> backend::Backend {
+        let refusals = self.refusals(&announcement.service);
         let regions = &self.settings.regions;
         let region = regions.get(&announcement.zone).cloned().unwrap_or_default();
         let own_entry = &self.settings.entry;
@@ -221,7 +242,7 @@
             placement::Distance::CrossRegion
         };
         let leaving = sync::Arc::clone(&self.leaving);
-        backend::Backend::new(announcement.clone(), region, distance, leaving)
+        backend::Backend::new(announcement.clone(), region, distance, leaving, refusals)
     }
 
     /// Marks the servers of zones that return to service as cold, since they may have cooled down
@@ -250,6 +271,7 @@
         spec: &config::Service,
         processes: &Processes<'_>,
     ) -> Service {
+        let refusals = self.refusals(&spec.name);
         let own_node = entry_node(&self.settings.entry);
         let bounds = &self.settings.bounds;
         let senders_count = bounds.cold_rate.senders_count(spec.cold_requests_per_s);
@@ -277,10 +299,14 @@
                 processes.count(),
             ))
         });
+        let slots = backends.iter().map(|backend| backend.announcement.slots);
         Service {
             spec: spec.clone(),
+            slots_count: slots.fold(0, u32::saturating_add),
             backends,
             budget: sync::Arc::clone(budget),
+            levels: self.levels.get(&spec.name).cloned().unwrap_or_default(),
+            refusals,
         }
     }
 
