rollout, registry: pure decisions and the state machine of rollouts

A service had no way to move to servers of another version under control. Adds the share of canary requests, mergeable evidence, the sequential test and the plan, and the commands and the change by which the registry keeps the stage. Sums of evidence per coordinator were ruled out: a process that moves to another coordinator would count twice. Announcements carry a version that is not encoded while it is empty.

--- a/crates/coordinator/tests/announcements.rs
+++ b/crates/coordinator/tests/announcements.rs
@@ -17,6 +17,7 @@
         slots: 4,
         state: server::State::Ready,
         cold_left: clock::Millis::ZERO,
+        version: String::new(),
     }
 }
 
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -411,6 +411,7 @@
             slots: 4,
             state: registry::State::Ready,
             cold_left: clock::Millis::ZERO,
+            version: String::new(),
         };
         let known = follow::Server {
             announcement,
--- a/crates/registry/src/feed.rs
+++ b/crates/registry/src/feed.rs
@@ -1,6 +1,7 @@
 //! Change feed of the registry, from which followers fetch the changes since an index.
 
 use crate::document;
+use crate::rollout;
 use crate::server;
 use serde::{Deserialize, Serialize};
 use std::collections;
@@ -24,6 +25,8 @@
     Server(server::Announcement),
     /// The server with this id was removed.
     Forgotten(String),
+    /// A rollout of the service began or reached another stage.
+    Rollout(String, rollout::Rollout),
 }
 
 /// Part of the registry that a change replaces.
@@ -32,6 +35,7 @@
     Configuration,
     ZonesOut,
     Server(&'a str),
+    Rollout(&'a str),
 }
 
 impl Change {
@@ -41,6 +45,7 @@
             Change::ZonesOut(_) => Subject::ZonesOut,
             Change::Server(announcement) => Subject::Server(&announcement.id),
             Change::Forgotten(id) => Subject::Server(id),
+            Change::Rollout(service, _) => Subject::Rollout(service),
         }
     }
 }
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -3,6 +3,7 @@
 use crate::document;
 use crate::entry_list;
 use crate::feed;
+use crate::rollout;
 use crate::server;
 use nutmegdale_base::{clock, digest};
 use serde::{Deserialize, Serialize};
@@ -126,6 +127,9 @@
     pub servers: collections::BTreeMap<String, Server>,
     /// Entry processes that are alive and ready.
     pub entries: Vec<Entry>,
+    /// Newest rollout of each service, with the time on the follower's clock at which its order
+    /// became known.
+    pub rollouts: collections::BTreeMap<String, (clock::Millis, rollout::Rollout)>,
 }
 
 impl LocalCopy {
@@ -174,6 +178,21 @@
                 self.servers.insert(server.announcement.id.clone(), server);
             }
             feed::Change::Forgotten(id) => drop(self.servers.remove(&id)),
+            feed::Change::Rollout(service, rollout) => self.apply_rollout(now, service, rollout),
         }
     }
+
+    fn apply_rollout(&mut self, now: clock::Millis, service: String, rollout: rollout::Rollout) {
+        let known = self.rollouts.get(&service);
+        let known = known.filter(|(_, known)| known.order == rollout.order);
+        let known_since = known.map_or(now, |(since, _)| *since);
+        self.rollouts.insert(service, (known_since, rollout));
+    }
+
+    /// Returns whether servers of a service with this version are excluded, since the version was
+    /// rolled back.
+    pub fn is_excluded(&self, service: &str, version: &str) -> bool {
+        let rollout = self.rollouts.get(service);
+        rollout.is_some_and(|(_, rollout)| rollout.excludes(version))
+    }
 }
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -38,9 +38,14 @@
     pub state: State,
     /// Time for which it remains cold.
     pub cold_left: clock::Millis,
+    /// Software version; empty where versions have no meaning, and then not encoded, so that
+    /// messages and stored records are the same as without this field.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub version: String,
 }
 
-/// Maximum length of the identifier of a server and of the name of its service, in bytes.
+/// Maximum length of the identifier of a server, of the name of its service and of its version, in
+/// bytes.
 const NAME_MAX_BYTES: usize = 256;
 /// Maximum number of requests that a server handles concurrently.
 const SLOTS_MAX_COUNT: u32 = 100_000;
@@ -54,6 +59,8 @@
 /// Reason why an announcement cannot come from a working server.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Error {
+    /// the version must have at most 256 bytes, not {0}
+    Version(usize),
     /// {field} must have 1 to 256 bytes, not {bytes}
     Name {
         /// Field that holds the name.
@@ -89,6 +96,10 @@
             return Err(Error::Name { field, bytes });
         }
     }
+    let bytes = announcement.version.len();
+    if bytes > NAME_MAX_BYTES {
+        return Err(Error::Version(bytes));
+    }
     let ip = announcement.address.ip();
     if announcement.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
         return Err(Error::Address(announcement.address));
@@ -147,5 +158,6 @@
         || new.service != old.service
         || new.zone != old.zone
         || new.slots != old.slots
+        || new.version != old.version
         || new.cold_left > cold_left + COLD_CHANGE_MIN_MS
 }
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -6,6 +6,7 @@
 
 use crate::document;
 use crate::feed;
+use crate::rollout;
 use crate::server;
 use serde::{Deserialize, Serialize};
 use sha2::Digest;
@@ -33,6 +34,10 @@
     Leave(String),
     /// Removes servers that have not announced themselves for long, by id and start time.
     Forget(Vec<(String, u64)>),
+    /// Starts a rollout.
+    StartRollout(rollout::Start),
+    /// Moves a rollout on.
+    AdvanceRollout(rollout::Advance),
 }
 
 /// Answer to a command.
@@ -45,6 +50,8 @@
         /// Current version.
         current: u64,
     },
+    /// Another rollout of the service is running.
+    RolloutRunning,
 }
 
 /// SHA-256 of a document.
@@ -74,6 +81,10 @@
     pub zones_out: collections::BTreeSet<String>,
     /// Servers by id.
     pub servers: collections::BTreeMap<String, server::Record>,
+    /// Newest rollout of each service. It is not encoded without one, so that snapshots are the same
+    /// as without this field.
+    #[serde(default, skip_serializing_if = "collections::BTreeMap::is_empty")]
+    pub rollouts: collections::BTreeMap<String, rollout::Rollout>,
 }
 
 impl State {
@@ -99,6 +110,8 @@
             Command::Announce(announcement) => self.announce(announcement, changes),
             Command::Leave(id) => self.leave(&id, changes),
             Command::Forget(incarnations) => self.forget(&incarnations, changes),
+            Command::StartRollout(start) => return self.start_rollout(start, changes),
+            Command::AdvanceRollout(advance) => self.advance_rollout(&advance, changes),
         }
         Reply::Done
     }
@@ -210,6 +223,10 @@
         }
         let servers = self.servers.values();
         changes.extend(servers.map(|record| feed::Change::Server(record.announcement.clone())));
+        let rollouts = self.rollouts.iter();
+        changes.extend(rollouts.map(|(service, rollout)| {
+            feed::Change::Rollout(service.clone(), rollout.clone())
+        }));
         changes
     }
 }
