--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -1,10 +1,11 @@
 //! Calls that a coordinator serves to other coordinators and to entry processes.
 
-use crate::{gossip, operations, rounds};
+use crate::{gossip, operations, rollouts, rounds};
 use bytes::Bytes;
 use nutmegdale_control::groups;
-use nutmegdale_registry::{follow, state};
+use nutmegdale_registry::{follow, rollout, state};
 use nutmegdale_replica::handle;
+use nutmegdale_rollout::{evidence, reports};
 use nutmegdale_rpc::server;
 use serde::{Deserialize, Serialize};
 use std::sync;
@@ -56,6 +57,73 @@
     }
 }
 
+/// Answer of the leader to a forwarded order of a rollout.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum StartAnswer {
+    Started(rollouts::Started),
+    Unknown,
+    Unavailable(String),
+}
+
+impl StartAnswer {
+    fn from_result(result: operations::Result<rollouts::Started>) -> StartAnswer {
+        match result {
+            Ok(started) => StartAnswer::Started(started),
+            Err(operations::Error::Unknown) => StartAnswer::Unknown,
+            Err(err) => StartAnswer::Unavailable(err.to_string()),
+        }
+    }
+
+    pub(crate) fn into_result(self) -> operations::Result<rollouts::Started> {
+        match self {
+            StartAnswer::Started(started) => Ok(started),
+            StartAnswer::Unknown => Err(operations::Error::Unknown),
+            StartAnswer::Unavailable(text) => Err(operations::Error::Unavailable(text)),
+        }
+    }
+}
+
+/// Returns the reply to a call about rollouts, or `None` for another call.
+fn rollout_call(
+    operations: &sync::Arc<operations::Operations>,
+    name: &str,
+    body: &Bytes,
+) -> Option<server::ReplyFuture> {
+    if !operations.has_rollouts() {
+        return None;
+    }
+    let unavailable =
+        |err: handle::ProposeError| (hyper::StatusCode::SERVICE_UNAVAILABLE, err.to_string());
+    let (operations, body) = (sync::Arc::clone(operations), body.clone());
+    let reply: server::ReplyFuture = match name {
+        evidence::EVIDENCE => Box::pin(async move {
+            let report: evidence::Report = server::decode(&body)?;
+            let now = operations.clock.now();
+            operations.rollouts.record(now, report);
+            server::encode_compact(&())
+        }),
+        reports::BATCH => Box::pin(async move {
+            let batch: reports::Batch = server::decode(&body)?;
+            let now = operations.clock.now();
+            operations.rollouts.record_batch(now, batch);
+            server::encode_compact(&())
+        }),
+        rollouts::START => Box::pin(async move {
+            let order: rollout::Order = server::decode(&body)?;
+            operations.confirm_leadership().await.map_err(unavailable)?;
+            let started = operations.start_rollout_as_leader(&order).await;
+            server::encode_compact(&StartAnswer::from_result(started))
+        }),
+        rollouts::READ => Box::pin(async move {
+            let service: String = server::decode(&body)?;
+            operations.confirm_leadership().await.map_err(unavailable)?;
+            server::encode_compact(&operations.local_rollout(&service))
+        }),
+        _ => return None,
+    };
+    Some(reply)
+}
+
 /// Handler of the calls of other processes; those it does not know go to the replicated groups.
 pub(crate) struct CallHandler {
     pub(crate) host: sync::Arc<groups::Host>,
@@ -103,7 +171,7 @@
                 operations.confirm_leadership().await.map_err(unavailable)?;
                 server::encode_compact(&operations.local_config())
             })),
-            _ => self.host.call(name, body),
+            _ => rollout_call(&operations, name, &body).or_else(|| self.host.call(name, body)),
         }
     }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,7 +5,8 @@
 //! `nutmegdale-replica`; [`confirmation`] holds the evidence of how recent its state is;
 //! [`entries`] is the soft-state table of live entry processes, which
 //! [`gossip`] merges between coordinators; [`repair`] decides which member of the group to admit,
-//! promote, demote or remove; `rounds` carries this out and `exchange` sends the gossip; [`service`]
+//! promote, demote or remove; [`rollouts`] takes orders of rollouts and decides on their stages;
+//! `rounds` carries the repair out and `exchange` sends the gossip; [`service`]
 //! starts the coordinator. A front end listens to operators and
 //! passes in a [`nutmegdale_registry::config::Codec`] that decodes their documents. See
 //! [docs/platform.md](../../../docs/platform.md).
@@ -19,6 +20,8 @@
 pub mod metrics;
 pub mod operations;
 pub mod repair;
+mod rollout_times;
+pub mod rollouts;
 mod rounds;
 pub mod service;
 mod sync;
--- a/crates/coordinator/src/machine.rs
+++ b/crates/coordinator/src/machine.rs
@@ -1,7 +1,8 @@
 //! The registry as the state machine of a replicated group.
 
+use crate::rollout_times;
 use nutmegdale_base::clock;
-use nutmegdale_registry::{feed, server, state};
+use nutmegdale_registry::{feed, rollout, server, state};
 use nutmegdale_replica::machine;
 use std::collections;
 use std::sync;
@@ -22,10 +23,25 @@
     feed: feed::Feed,
     /// When each server's record was applied here; its remaining cold time counts down from then.
     applied_at: collections::HashMap<String, clock::Millis>,
+    /// Times of the commands of rollouts.
+    rollout_times: rollout_times::RolloutTimes,
     /// Changes of the command that is being applied; kept to reuse its buffer.
     changes: Vec<feed::Change>,
 }
 
+/// Rollout that has not ended.
+#[derive(Debug)]
+pub struct RunningRollout {
+    /// Name of the service.
+    pub service: String,
+    /// State in the registry.
+    pub rollout: rollout::Rollout,
+    /// Time since the order, as this replica measures it.
+    pub elapsed: clock::Millis,
+    /// Servers of other versions that accept requests, and those of the target version.
+    pub servers: (usize, usize),
+}
+
 /// Changes that a follower of the registry lacks.
 #[derive(Debug)]
 pub struct Delta {
@@ -112,6 +128,27 @@
         }
     }
 
+    /// Returns the rollouts that have not ended.
+    pub fn running_rollouts(&self) -> Vec<RunningRollout> {
+        let now = self.clock.now();
+        let inner = self.inner();
+        let rollouts = inner.state.rollouts.iter();
+        let running = rollouts.filter(|(_, rollout)| rollout.stage.is_running());
+        let running = running.map(|(service, rollout)| RunningRollout {
+            service: service.clone(),
+            rollout: rollout.clone(),
+            elapsed: inner.rollout_times.elapsed(now, service),
+            servers: inner.state.rollout_servers(service),
+        });
+        running.collect()
+    }
+
+    /// Returns whether this replica applied an equal order within the last `limit`.
+    pub fn was_ordered(&self, order: &rollout::Order, limit: clock::Millis) -> bool {
+        let now = self.clock.now();
+        self.inner().rollout_times.was_ordered(now, order, limit)
+    }
+
     fn publish(&self, index: u64) {
         self.index.send_replace(index);
     }
@@ -137,7 +174,15 @@
             rmp_serde::from_slice(cmd).expect("a replica of this build encoded the command");
         let mut guard = self.shared.inner();
         let inner = &mut *guard;
+        let rollout_cmd = matches!(
+            cmd,
+            state::Command::StartRollout(_) | state::Command::AdvanceRollout(_)
+        )
+        .then(|| cmd.clone());
         let answer = inner.state.apply(index, cmd, &mut inner.changes);
+        if let Some(cmd) = &rollout_cmd {
+            inner.rollout_times.record(now, cmd, &inner.state);
+        }
         for change in &inner.changes {
             match change {
                 feed::Change::Server(announcement) => {
@@ -164,6 +209,7 @@
         let index = state.index;
         let mut inner = self.shared.inner();
         inner.applied_at = state.servers.keys().map(|id| (id.clone(), now)).collect();
+        inner.rollout_times.reset(now, &state);
         inner.feed.reset(index);
         inner.state = state;
         drop(inner);
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -22,6 +22,8 @@
     pub entries: IntGauge,
     /// Membership changes that this process requested.
     pub repairs: IntCounter,
+    /// Steps of rollouts that this process decided on as the leader.
+    pub rollout_steps: IntCounter,
 }
 
 impl Metrics {
@@ -60,9 +62,16 @@
             "Changes of the group's members that this process asked for.",
         );
         let repairs = repairs.expect(valid);
+        let rollout_steps = IntCounter::new(
+            "nutmegdale_coordinator_rollout_steps_total",
+            "Stages of rollouts that this process decided on as the leader.",
+        );
+        let rollout_steps = rollout_steps.expect(valid);
         let registry = Registry::new();
         registry.register(Box::new(calls.clone())).expect(valid);
-        registry.register(Box::new(repairs.clone())).expect(valid);
+        for counter in [&repairs, &rollout_steps] {
+            registry.register(Box::new(counter.clone())).expect(valid);
+        }
         let gauges = [
             &is_leader,
             &applied,
@@ -82,6 +91,7 @@
             confirmation_age_ms,
             entries,
             repairs,
+            rollout_steps,
         }
     }
 
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -1,6 +1,6 @@
 //! Operations of a coordinator for operators, servers and entry processes.
 
-use crate::{calls, confirmation, entries, gossip, machine, metrics};
+use crate::{calls, confirmation, entries, gossip, machine, metrics, rollouts};
 use displaydoc::Display;
 use nutmegdale_base::clock;
 use nutmegdale_consensus::{status, types};
@@ -84,6 +84,7 @@
     pub(crate) codec: sync::Arc<dyn config::Codec>,
     pub(crate) clock: sync::Arc<dyn clock::Clock>,
     pub(crate) soft_state: sync::Mutex<SoftState>,
+    pub(crate) rollouts: rollouts::Rollouts,
     pub(crate) log: slog::Logger,
     /// Rate limit of log lines on announcements, which come in hundreds after a start.
     pub(crate) announcement_lines: limiter::Limiter,
--- a/crates/coordinator/src/service.rs
+++ b/crates/coordinator/src/service.rs
@@ -1,10 +1,11 @@
 //! Startup and main loop of a coordinator.
 
-use crate::{calls, machine, metrics, operations, rounds};
+use crate::{calls, machine, metrics, operations, rollouts, rounds};
 use nutmegdale_base::clock;
 use nutmegdale_consensus::config as timing;
 use nutmegdale_control::groups;
 use nutmegdale_registry::config;
+use nutmegdale_rollout::bound;
 use nutmegdale_rpc::{listen, server};
 use nutmegdale_settings::model;
 use nutmegdale_storage::disk;
@@ -47,6 +48,8 @@
     pub target_voters_count: usize,
     /// Shared secret by which the system's processes authenticate to each other.
     pub cluster_token: String,
+    /// Bounds on rollouts; `None` if the deployment has none.
+    pub rollouts: Option<bound::Bound>,
 }
 
 /// Dependencies of a coordinator that its caller provides.
@@ -119,6 +122,7 @@
             codec,
             clock,
             soft_state: sync::Mutex::default(),
+            rollouts: rollouts::Rollouts::new(settings.rollouts),
             log,
             announcement_lines: limiter::Limiter::new(operations::ANNOUNCEMENT_LINES_PER_SECOND),
             metrics: metrics::Metrics::new(),
@@ -160,8 +164,15 @@
             drop(stopped.wait_for(|is_stopping| *is_stopping).await);
             self.host.stop().await;
         };
+        let rollouts = async {
+            match self.operations.has_rollouts() {
+                true => self.operations.run_rollouts().await,
+                false => std::future::pending().await,
+            }
+        };
         tokio::select! {
             ended = rounds.run() => ended,
+            () = rollouts => Ok(()),
             _ = async { tokio::join!(serve, stop_group) } => Ok(()),
         }
     }
--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -6,6 +6,7 @@
 use nutmegdale_consensus::status;
 use nutmegdale_coordinator::{operations, service};
 use nutmegdale_registry::{config, follow, state};
+use nutmegdale_rollout::bound;
 use nutmegdale_storage::fake;
 use nutmegdale_telemetry::{clock as telemetry_clock, log};
 use nutmegdale_testkit::{addresses, cluster};
@@ -133,6 +134,11 @@
             is_first_start,
             target_voters_count: self.first_members.len(),
             cluster_token: "token".to_owned(),
+            rollouts: Some(bound::Bound {
+                share: 0.1,
+                slack: 50.0,
+                rollback: clock::Millis(5_000),
+            }),
         };
         let mut seeds = self.first_members.clone();
         seeds.extend(self.members.iter().map(|member| member.address));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,9 @@
 //! server states that it did not run it; a response is forwarded only if it belongs to this request
 //! and, up to the buffering limit, only once it is complete.
 
-use crate::{backend, call, in_flight, interim, metrics, payload, pool, server_traffic, state};
+use crate::{
+    backend, call, in_flight, interim, metrics, payload, pool, rollouts, server_traffic, state,
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{body, header};
@@ -55,6 +57,10 @@
     pub deadline: clock::Millis,
     /// Prediction on which the choice of the server is based.
     pub prediction: placement::Prediction,
+    /// Servers that it may go to during a rollout.
+    pub selection: rollouts::Selection,
+    /// Recorder of what it says about the version of its server.
+    pub observer: Option<rollouts::Observer>,
 }
 
 /// Response of a server.
@@ -74,6 +80,8 @@
     pub slowdown_percent: u32,
     /// Predicted free capacity of the server.
     pub room: estimate::Room,
+    /// Selection by which the server was picked.
+    pub selection: rollouts::Selection,
 }
 
 /// Result of one attempt.
@@ -111,10 +119,15 @@
     if time_left == clock::Millis::ZERO {
         return AttemptResult::NotRun(outcome::Reason::Deadline, false);
     }
-    if !attempt.backend.accepts(in_flight.now()) {
+    if !attempt.backend.accepts(in_flight.now())
+        || !rollouts::may_send(shared, &attempt.backend, attempt.selection)
+    {
         return AttemptResult::NotRun(outcome::Reason::NoServer, false);
     }
     in_flight.is_written = true;
+    if attempt.selection == rollouts::Selection::Canary {
+        metrics::increment(&shared.rollouts.canaries);
+    }
     metrics::increment(&shared.metrics.sends);
     let round_trip = round_trip(shared, &mut in_flight, connection, attempt, time_left);
     match tokio::time::timeout(duration(time_left), round_trip).await {
@@ -147,6 +160,7 @@
         request_id: attempt.request_id,
         end: attempt.deadline + call::DEADLINE_MARGIN_MS,
         room: attempt.prediction.room(),
+        selection: attempt.selection,
     };
     let mut req = req.map(|()| attempt.payload.into_body());
     let interim = interim::Limit::watch(&mut req);
@@ -182,6 +196,9 @@
 
 /// Records a failure after which it is unknown whether the request ran.
 fn broken(in_flight: &mut in_flight::InFlight, failure: health::Failure) -> AttemptResult {
+    if matches!(failure, health::Failure::Answer) {
+        in_flight.observe_failure();
+    }
     in_flight.record_failure(failure);
     AttemptResult::Unknown(outcome::Reason::BrokenAnswer)
 }
@@ -193,6 +210,7 @@
     /// Time at which a streamed response fails.
     end: clock::Millis,
     room: estimate::Room,
+    selection: rollouts::Selection,
 }
 
 impl SentRequest {
@@ -275,6 +293,7 @@
             body,
             buffered_bytes,
             room: self.room,
+            selection: self.selection,
             elapsed: now.since(in_flight.started),
             slowdown_percent: last
                 .map_or(signal::NO_SLOWDOWN_PERCENT, |aged| aged.slowdown_percent),
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,6 +1,6 @@
 //! Runtime state of one incarnation of a backend server.
 
-use crate::pool;
+use crate::{pool, rollouts};
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{availability, cold, health, placement, signal};
 use nutmegdale_registry::server;
@@ -76,6 +76,8 @@
     ranking_digest: atomic::AtomicU64,
     is_preferred: atomic::AtomicBool,
     cold_until_ms: atomic::AtomicU64,
+    /// Number of the [`rollouts::Role`].
+    role: atomic::AtomicU8,
 }
 
 impl Backend {
@@ -107,6 +109,7 @@
             ranking_digest: atomic::AtomicU64::new(0),
             is_preferred: atomic::AtomicBool::new(false),
             cold_until_ms: atomic::AtomicU64::new(0),
+            role: atomic::AtomicU8::new(0),
         }
     }
 
@@ -120,6 +123,16 @@
         self.is_open.swap(is_open, atomic::Ordering::AcqRel) != is_open
     }
 
+    /// Sets the part of the server in a rollout of its service.
+    pub fn set_role(&self, role: rollouts::Role) {
+        self.role.store(role as u8, atomic::Ordering::Release);
+    }
+
+    /// Returns the part of the server in a rollout of its service.
+    pub fn role(&self) -> rollouts::Role {
+        rollouts::Role::from_number(self.role.load(atomic::Ordering::Acquire))
+    }
+
     /// Returns whether the registry and the server itself allow requests, except for a backoff.
     pub fn is_open(&self) -> bool {
         self.is_open.load(atomic::Ordering::Acquire) && !self.availability.is_leaving()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,9 @@
 //! written to another server only if the last one stated that it did not run it; retries and hedges
 //! stay within the retry budget of their service.
 
-use crate::{attempt, backend, call, hedge_timer, metrics, payload, picker, state, table};
+use crate::{
+    attempt, backend, call, hedge_timer, metrics, payload, picker, rollouts, state, table,
+};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use nutmegdale_base::{class, clock, outcome};
@@ -65,6 +67,8 @@
     is_trial: bool,
     /// Retry budget of each token that was withdrawn: one for each written attempt but the first.
     withdrawn: Vec<sync::Arc<budget::Budget>>,
+    /// Whether the division of a rollout has counted the request.
+    is_divided: bool,
 }
 
 /// Service of the next attempt, in the current table.
@@ -73,6 +77,12 @@
     service_index: usize,
 }
 
+impl Target {
+    fn service(&self) -> &table::Service {
+        &self.table.services[self.service_index]
+    }
+}
+
 type PickResult = Result<picker::Picked, picker::Rejection>;
 
 /// Next step of a request.
@@ -139,6 +149,7 @@
             waited_before: request.waited_before,
             is_trial: false,
             withdrawn: Vec::new(),
+            is_divided: false,
         }
     }
 
@@ -265,8 +276,32 @@
         })
     }
 
-    /// Picks the server of another attempt.
+    /// Picks the server of another attempt, by its selection during a rollout. If there is no such
+    /// server, the attempt goes to the usual ones.
     async fn pick_server(&mut self, call: &call::Call<'_>, target: &Target) -> PickResult {
+        let usual = rollouts::Selection::Usual;
+        if let Some(division) = &target.service().rollout {
+            let is_first = !std::mem::replace(&mut self.is_divided, true);
+            let selection = division.select(call.shared, is_first);
+            if selection != usual {
+                let result = self.pick_selected(call, target, selection).await;
+                if result.is_ok() {
+                    return result;
+                }
+                if selection == rollouts::Selection::Canary {
+                    division.release(call.shared);
+                }
+            }
+        }
+        self.pick_selected(call, target, usual).await
+    }
+
+    async fn pick_selected(
+        &mut self,
+        call: &call::Call<'_>,
+        target: &Target,
+        selection: rollouts::Selection,
+    ) -> PickResult {
         let profile = placement::RequestProfile {
             service_time_ms: self.route.estimate.service_time_ms(),
             transfer_kb: self.buffered_kb() + self.route.estimate.response_kb(),
@@ -282,6 +317,7 @@
             tried: &self.tried,
             time_left: self.time_left(call),
             is_trial: self.is_trial,
+            selection,
         };
         picker::pick(call.shared, &target.table, &query).await
     }
@@ -323,9 +359,13 @@
                 false => &shared.metrics.retries,
             });
         }
-        let path = &target.table.services[target.service_index].spec.health_path;
+        let path = &target.service().spec.health_path;
         let hedge_timer = self.new_hedge_timer(call, &picked, path);
-        self.push_attempt(call, attempts, picked);
+        let division = target.service().rollout.as_ref();
+        let now = shared.clock.now();
+        let observer = division
+            .and_then(|division| division.observer(&self.route.spec.name, &picked.backend, now));
+        self.push_attempt(call, attempts, picked, observer);
         hedge_timer
     }
 
@@ -394,6 +434,7 @@
         call: &mut call::Call<'_>,
         attempts: &mut FuturesUnordered<AttemptFuture>,
         picked: picker::Picked,
+        observer: Option<rollouts::Observer>,
     ) {
         let Some(payload) = self.next_payload() else {
             return;
@@ -402,6 +443,9 @@
             self.is_trial = true;
             call.trace.push_event(call.elapsed(), "trial");
         }
+        if picked.selection == rollouts::Selection::Canary {
+            call.trace.push_event(call.elapsed(), "canary");
+        }
         call.trace
             .push_attempt(call.elapsed(), picked.backend.id(), &picked.prediction);
         self.tried.push(sync::Arc::clone(&picked.backend));
@@ -414,6 +458,8 @@
             is_one_time: !self.route.spec.class.is_idempotent(),
             deadline: call.deadline,
             prediction: picked.prediction,
+            selection: picked.selection,
+            observer,
         };
         let shared = sync::Arc::clone(call.shared);
         attempts.push(Box::pin(
@@ -502,7 +548,8 @@
             self.fallback = Some(response);
             return self.retry_or_wait(is_last);
         }
-        if response.status.is_success() {
+        // A few canary responses must not change what is expected of the old version.
+        if response.status.is_success() && response.selection != rollouts::Selection::Canary {
             let (elapsed, slowdown) = (response.elapsed, response.slowdown_percent);
             let estimate = &self.route.estimate;
             estimate.record_response(elapsed, slowdown, response.buffered_bytes, response.room);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -168,6 +168,7 @@
             .take_if(|followed| *followed == target)
             .is_some()
         {
+            self.shared.rollouts.followed.store(None);
             slog::info!(self.shared.log, "coordinator lost"; "coordinator" => %target,
                 "index" => self.copy.index, "error" => %reason);
         }
@@ -179,6 +180,8 @@
             slog::info!(self.shared.log, "coordinator followed"; "coordinator" => %target,
                 "index" => self.copy.index);
             self.followed = Some(target);
+            let followed = Some(sync::Arc::new(target));
+            self.shared.rollouts.followed.store(followed);
         }
     }
 
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -1,8 +1,8 @@
 //! Guard of a request in flight: what its server's load and health statistics learn from it.
 
-use crate::{attempt, backend, dialect, state};
+use crate::{attempt, backend, dialect, rollouts, state};
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::health;
+use nutmegdale_dispatch::{health, signal};
 use std::sync;
 
 /// Time beyond twice the predicted response time after which a missing response counts as a
@@ -22,6 +22,8 @@
     pub(crate) is_written: bool,
     /// Whether the result is known, so that the drop records nothing.
     pub(crate) is_settled: bool,
+    /// Recorder of what the attempt says about the version of its server.
+    observer: Option<rollouts::Observer>,
 }
 
 /// Wrapper that implements `Debug`, since the state holds trait objects.
@@ -40,6 +42,9 @@
         // The elapsed time of an abandoned attempt is a lower bound of its response time.
         if self.is_written && !self.is_settled && elapsed.0 as f64 > self.uncorrected_ms {
             self.record_response_time(elapsed);
+            if let Some(observer) = &self.observer {
+                observer.record_abandoned(elapsed, self.slowdown_percent());
+            }
         }
         if self.is_written && !self.is_settled && elapsed > self.silence_timeout {
             let failure = health::Failure::Silence;
@@ -64,6 +69,7 @@
             uncorrected_ms: attempt.prediction.uncorrected_ms,
             is_written: false,
             is_settled: false,
+            observer: attempt.observer.clone(),
         }
     }
 
@@ -71,6 +77,18 @@
         self.shared.0.clock.now()
     }
 
+    fn slowdown_percent(&self) -> u32 {
+        let last = self.backend.signal.last_report(self.now());
+        last.map_or(signal::NO_SLOWDOWN_PERCENT, |aged| aged.slowdown_percent)
+    }
+
+    /// Records a broken response as evidence on the version of the server.
+    pub(crate) fn observe_failure(&self) {
+        if let Some(observer) = &self.observer {
+            observer.record_failure();
+        }
+    }
+
     fn record_response_time(&self, elapsed: clock::Millis) {
         let signal = &self.backend.signal;
         signal.record_response_time(self.now(), elapsed.0 as f64, self.uncorrected_ms);
@@ -110,9 +128,14 @@
     pub(crate) fn record_response(&mut self, status: hyper::StatusCode) {
         self.is_settled = true;
         if status.is_server_error() {
+            self.observe_failure();
             self.record_failure(health::Failure::Answer);
             return;
         }
+        if let Some(observer) = &self.observer {
+            let elapsed = self.now().since(self.started);
+            observer.record_served(elapsed, self.slowdown_percent());
+        }
         self.backend.health.record_success();
         self.record_response_time(self.now().since(self.started));
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //! a hedge is due. [`picker`] applies the decisions of `nutmegdale-dispatch` to pick a server after
 //! the health checks of [`probe`]. Only [`attempt`] writes requests to servers, over connections
 //! from [`pool`]; [`buffer`] limits the memory of buffered bodies; `in_flight` records what each attempt tells of its server, and [`server_traffic`]
-//! counts bytes. [`directory`] selects the addresses to which callers connect. Header names of a
+//! counts bytes. [`rollouts`] divides requests between two versions of a service. [`directory`] selects the addresses to which callers connect. Header names of a
 //! front end are known only to its [`dialect::Dialect`]. See
 //! [docs/platform.md](../../../docs/platform.md).
 
@@ -30,6 +30,7 @@
 pub mod pool;
 pub mod probe;
 pub mod proxy;
+pub mod rollouts;
 pub mod server_traffic;
 pub mod service;
 pub mod settings;
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -1,6 +1,6 @@
 //! Picks the server of an attempt, after health checks of the best candidates.
 
-use crate::{backend, probe, state, table};
+use crate::{backend, probe, rollouts, state, table};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use nutmegdale_base::{clock, outcome};
@@ -37,6 +37,8 @@
     /// Whether an earlier attempt of the request was admitted as a trial. Its retries are trials
     /// too, since an attempt that reached no server has refreshed no estimate.
     pub is_trial: bool,
+    /// Servers that it may go to during a rollout.
+    pub selection: rollouts::Selection,
 }
 
 /// Server that was picked.
@@ -48,6 +50,8 @@
     pub prediction: placement::Prediction,
     /// Whether the request was admitted only to refresh an estimate that may be stale.
     pub is_trial: bool,
+    /// Selection by which it was picked.
+    pub selection: rollouts::Selection,
 }
 
 /// Reason why no server was picked.
@@ -194,6 +198,7 @@
                 backend,
                 prediction,
                 is_trial,
+                selection: query.selection,
             });
         }
     }
@@ -239,6 +244,7 @@
     let now = shared.clock.now();
     let is_usable = |backend: &&sync::Arc<backend::Backend>| {
         backend.accepts(now)
+            && query.selection.admits(backend.role())
             && backend.can_acquire(now)
             && (query.home_regions.is_empty() || query.home_regions.contains(&backend.region))
             && !query
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -1,6 +1,6 @@
 //! Runs a gateway, including its graceful shutdown.
 
-use crate::{follow, proxy, settings, state, table};
+use crate::{follow, proxy, rollouts, settings, state, table};
 use nutmegdale_base::clock;
 use nutmegdale_registry::follow as registry;
 use nutmegdale_rpc::listen;
@@ -62,6 +62,8 @@
         let shared = self.shared;
         let listener = listen::bind(shared.settings.entry.address).await?;
         let follower = tokio::spawn(self.follower.run());
+        let rollouts = shared.settings.features.rollouts;
+        let reporter = rollouts.map(|_| tokio::spawn(rollouts::report(sync::Arc::clone(&shared))));
         let sweeper = tokio::spawn(sweep_idle(sync::Arc::clone(&shared)));
         let grace = shared.settings.bounds.grace;
         let (closed_tx, closed_rx) = watch::channel(false);
@@ -75,6 +77,9 @@
         slog::info!(shared.log, "gateway stopped"; "all_requests_ended" => is_clean);
         follower.abort();
         sweeper.abort();
+        if let Some(reporter) = reporter {
+            reporter.abort();
+        }
         Ok(())
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,8 @@
 //! State that all tasks of a gateway share.
 
-use crate::{backend, buffer, decisions, dialect, metrics, pool, server_traffic, settings, table};
+use crate::{
+    backend, buffer, decisions, dialect, metrics, pool, rollouts, server_traffic, settings, table,
+};
 use arc_swap::ArcSwap;
 use hyper::header;
 use nutmegdale_admission::bucket;
@@ -54,6 +56,10 @@
     pub decision_log: decisions::DecisionLog,
     /// Logger of everything else.
     pub log: slog::Logger,
+    /// State of rollouts that outlives tables.
+    pub rollouts: rollouts::State,
+    /// Number that identifies the start of the process.
+    pub boot: u64,
     seed: atomic::AtomicU64,
 }
 
@@ -98,6 +104,8 @@
             server_traffic: server_traffic::ServerTraffic::new(),
             decision_log: decisions::DecisionLog::new(dependencies.log.clone()),
             log: dependencies.log,
+            rollouts: rollouts::State::default(),
+            boot: dependencies.seed,
             seed: atomic::AtomicU64::new(dependencies.seed),
         }
     }
@@ -121,15 +129,20 @@
             .fetch_max(at.0, atomic::Ordering::Relaxed);
     }
 
+    /// Returns how long ago every change accepted until then was in the routing table.
+    pub fn confirmation_age(&self) -> clock::Millis {
+        let confirmed_at = clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Relaxed));
+        self.clock.now().since(confirmed_at)
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> Vec<u8> {
-        let confirmed_at = clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Relaxed));
-        let text = self.metrics.text(&[
+        let mut samples = vec![
             telemetry::Sample {
                 name: "nutmegdale_registry_confirmation_age_ms",
                 help: "Age of the evidence that the routing table has every accepted change.",
                 kind: telemetry::Kind::Gauge,
-                value: self.clock.now().since(confirmed_at).0,
+                value: self.confirmation_age().0,
             },
             telemetry::Sample {
                 name: "nutmegdale_buffered_bytes",
@@ -143,7 +156,11 @@
                 kind: telemetry::Kind::Counter,
                 value: self.buffer_budget.exhausted_count(),
             },
-        ]);
+        ];
+        if self.settings.features.rollouts.is_some() {
+            samples.extend(self.rollouts.samples());
+        }
+        let text = self.metrics.text(&samples);
         [
             text.into_bytes(),
             self.server_traffic.text(),
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,6 +1,6 @@
 //! Immutable routing table that the path of a request reads: routes, services and servers.
 
-use crate::{backend, settings};
+use crate::{backend, rollouts, settings};
 use nutmegdale_base::{clock, digest};
 use nutmegdale_dispatch::{availability, budget, cold, estimate, placement, split};
 use nutmegdale_registry::{config, follow, server};
@@ -46,6 +46,8 @@
     pub backends: Vec<sync::Arc<backend::Backend>>,
     /// Budget of retries and hedges.
     pub budget: sync::Arc<budget::Budget>,
+    /// Division between two versions while a rollout runs.
+    pub rollout: Option<sync::Arc<rollouts::Division>>,
 }
 
 /// Routes by host, in descending order of prefix length.
@@ -114,6 +116,7 @@
     /// change far more often and a configuration may have more than a thousand routes.
     routes: (u64, sync::Arc<Routes>),
     zones_out: collections::BTreeSet<String>,
+    divisions: rollouts::Divisions,
 }
 
 impl Builder {
@@ -128,6 +131,7 @@
             splitters: collections::HashMap::new(),
             routes: (0, sync::Arc::default()),
             zones_out: collections::BTreeSet::new(),
+            divisions: rollouts::Divisions::default(),
         }
     }
 
@@ -141,10 +145,17 @@
         self.update_backends(now, copy);
         self.mark_restored_zones_cold(now, copy, config);
         let processes = Processes::new(&copy.entries);
+        let settings = sync::Arc::clone(&self.settings);
+        let rollouts = rollouts::Source {
+            bound: settings.features.rollouts,
+            own_name: &settings.entry.name,
+            copy,
+            config,
+        };
         let services = config.map_or(&[][..], |config| &config.services);
         let services: Vec<_> = services
             .iter()
-            .map(|spec| self.build_service(now, spec, &processes))
+            .map(|spec| self.build_service(now, spec, &processes, rollouts))
             .collect();
         if let Some(config) = config.filter(|config| config.version != self.routes.0) {
             let routes = self.build_routes(config);
@@ -168,7 +179,10 @@
             let announcement = &known.announcement;
             let incarnation = (announcement.id.clone(), announcement.born);
             let backend = match self.backends.get(&incarnation) {
-                Some(backend) if backend.announcement.address == announcement.address => {
+                Some(backend)
+                    if backend.announcement.address == announcement.address
+                        && backend.announcement.version == announcement.version =>
+                {
                     sync::Arc::clone(backend)
                 }
                 _ => {
@@ -181,7 +195,8 @@
             if known.cold_until > now {
                 backend.extend_cold_until(known.cold_until);
             }
-            let is_out = copy.zones_out.contains(&announcement.zone);
+            let is_out = copy.zones_out.contains(&announcement.zone)
+                || copy.is_excluded(&announcement.service, &announcement.version);
             if announcement.state == server::State::Ready && !is_out {
                 accepting.insert(incarnation);
             }
@@ -240,6 +255,7 @@
         now: clock::Millis,
         spec: &config::Service,
         processes: &Processes<'_>,
+        rollouts: rollouts::Source<'_>,
     ) -> Service {
         let own_node = entry_node(&self.settings.entry);
         let bounds = &self.settings.bounds;
@@ -260,6 +276,8 @@
             });
             backend.pool.set_open_max(open_max);
         }
+        let all = self.backends.values().cloned();
+        let rollout = self.divisions.build(rollouts, &spec.name, &backends, all);
         mark_preferred(&self.settings.entry.name, &backends);
         let budget = self.budgets.entry(spec.name.clone()).or_insert_with(|| {
             sync::Arc::new(budget::Budget::new(
@@ -272,6 +290,7 @@
             spec: spec.clone(),
             backends,
             budget: sync::Arc::clone(budget),
+            rollout,
         }
     }
 
@@ -359,15 +378,16 @@
     cold::Node::new(&entry.name, &entry.zone)
 }
 
-/// Marks the servers that this process prefers: the same number for each distance, chosen by
-/// rendezvous hashing so that the processes spread evenly over the servers.
+/// Marks the servers that this process prefers: the same number for each distance and part in a
+/// rollout, chosen by rendezvous hashing so that the processes spread evenly over the servers.
 fn mark_preferred(own_name: &str, backends: &[sync::Arc<backend::Backend>]) {
     let rank = |backend: &backend::Backend| digest::of(&(own_name, backend.id()));
     let mut ranked: Vec<_> = backends.iter().collect();
     ranked.sort_by_key(|backend| (backend.distance, rank(backend)));
     let mut counts = collections::HashMap::new();
     for backend in ranked {
-        let count = counts.entry(backend.distance).or_insert(0);
+        let group = (backend.distance, backend.role() as u8);
+        let count = counts.entry(group).or_insert(0);
         backend.set_preferred(*count < placement::PREFERRED_COUNT);
         *count += 1;
     }
--- a/crates/registry/src/rollout.rs
+++ b/crates/registry/src/rollout.rs
@@ -85,7 +85,9 @@
                 return state::Reply::Done;
             }
             if newest.stage.is_running() || newest_order != start.previous {
-                return state::Reply::RolloutRunning;
+                return state::Reply::Conflict {
+                    current: newest_order,
+                };
             }
         }
         let rollout = Rollout {
@@ -95,7 +97,10 @@
             stage: plan::Stage::Canary,
             elapsed: clock::Millis::ZERO,
         };
-        changes.push(feed::Change::Rollout(order.service.clone(), rollout.clone()));
+        changes.push(feed::Change::Rollout(
+            order.service.clone(),
+            rollout.clone(),
+        ));
         self.rollouts.insert(order.service, rollout);
         state::Reply::Done
     }
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -45,13 +45,12 @@
 pub enum Reply {
     /// The command was applied or had been applied before.
     Done,
-    /// The base is not the current version, or the new version is not above it.
+    /// The base is not the current version, or the new version is not above it; or another rollout
+    /// of the service is running.
     Conflict {
-        /// Current version.
+        /// Current version, or index of the order of the running rollout.
         current: u64,
     },
-    /// Another rollout of the service is running.
-    RolloutRunning,
 }
 
 /// SHA-256 of a document.
@@ -224,9 +223,10 @@
         let servers = self.servers.values();
         changes.extend(servers.map(|record| feed::Change::Server(record.announcement.clone())));
         let rollouts = self.rollouts.iter();
-        changes.extend(rollouts.map(|(service, rollout)| {
-            feed::Change::Rollout(service.clone(), rollout.clone())
-        }));
+        changes.extend(
+            rollouts
+                .map(|(service, rollout)| feed::Change::Rollout(service.clone(), rollout.clone())),
+        );
         changes
     }
 }
--- a/crates/rollout/src/reports.rs
+++ b/crates/rollout/src/reports.rs
@@ -123,7 +123,10 @@
             let record = newest.get(name);
             record.is_some_and(|record| is_released(&record.report, service, order))
         };
-        names.into_iter().filter(|name| !is_released(name)).collect()
+        names
+            .into_iter()
+            .filter(|name| !is_released(name))
+            .collect()
     }
 }
 
--- a/crates/rollout/src/test.rs
+++ b/crates/rollout/src/test.rs
@@ -210,6 +210,5 @@
     }
     let bad = (expected + excess).min(BAD_MAX);
     let others = f64::from(attempts.saturating_sub(events));
-    f64::from(events) * (bad / expected).ln()
-        + others * ((1.0 - bad) / (1.0 - expected)).ln()
+    f64::from(events) * (bad / expected).ln() + others * ((1.0 - bad) / (1.0 - expected)).ln()
 }
