--- a/crates/coordinator/src/rollouts.rs
+++ b/crates/coordinator/src/rollouts.rs
@@ -360,7 +360,7 @@
                 elapsed,
                 duration: rollout.duration,
                 verdict: progress.test.verdict(),
-                failures_verdict: progress.test.failures_verdict(),
+                uncompared_verdict: progress.test.uncompared_verdict(),
                 attempts: evidence.totals(),
                 servers,
                 is_released: unreleased.is_empty(),
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -64,8 +64,8 @@
     pub duration: clock::Millis,
     /// Result of the test.
     pub verdict: test::Verdict,
-    /// Result of the test for failures alone.
-    pub failures_verdict: test::Verdict,
+    /// Result of the test without a comparison with the old version.
+    pub uncompared_verdict: test::Verdict,
     /// Attempts at servers of other versions, and at servers of the target version.
     pub attempts: (u64, u64),
     /// Servers of other versions that accept requests, and those of the target version.
@@ -160,7 +160,7 @@
 
 fn next_of_promotion(view: &View) -> Step {
     let (old, new) = view.servers;
-    if old > 0 && view.failures_verdict == test::Verdict::Bad {
+    if old > 0 && view.uncompared_verdict == test::Verdict::Bad {
         return Step::RollBack(Reason::Bad);
     }
     if old > 0 && new == 0 {
--- a/crates/rollout/src/test.rs
+++ b/crates/rollout/src/test.rs
@@ -29,8 +29,14 @@
 const SLOW_EXCESS: f64 = 0.38;
 /// Highest rate of a bad version; above it, the old version is as bad.
 const BAD_MAX: f64 = 0.95;
-/// Number of latency classes above the median at which a response is slow: three times the median.
-const SLOW_CLASSES_COUNT: usize = 3;
+/// Number of latency classes above that of the median at which a response is slow: 2.8 to 4 times the
+/// median, depending on its place in its class.
+const SLOW_CLASSES_COUNT: usize = 4;
+/// Lowest expected rate of failures after the promotion, when the old version gets no requests: what
+/// hits all servers for a while cannot be told from a fault of the new version.
+const UNCOMPARED_MIN: f64 = 0.25;
+/// Least number of attempts of a step for a rate of its own.
+const STEP_MIN_COUNT: u32 = 10;
 /// Least number of timed responses of the old version for a median.
 const MEDIAN_MIN_COUNT: u32 = 10;
 
@@ -76,12 +82,15 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Scores {
     failures: f64,
+    /// Failures without a comparison.
+    uncompared: f64,
     slowness: f64,
 }
 
 impl Scores {
     fn add(&mut self, other: Scores) {
         self.failures = (self.failures + other.failures).max(0.0);
+        self.uncompared = (self.uncompared + other.uncompared).max(0.0);
         self.slowness = (self.slowness + other.slowness).max(0.0);
     }
 }
@@ -105,6 +114,7 @@
             if let Some(state) = self.routes.get_mut(name) {
                 let step = state.step(route);
                 sum.failures += step.failures;
+                sum.uncompared += step.uncompared;
                 sum.slowness += step.slowness;
             }
         }
@@ -117,11 +127,11 @@
         verdict_of(score)
     }
 
-    /// Returns the result so far without regard to slowness, for a time at which the old version
-    /// gets no requests and there is nothing to compare the speed with.
-    pub fn failures_verdict(&self) -> Verdict {
-        let scores = self.routes.values().map(|state| state.scores.failures);
-        verdict_of(scores.fold(self.all.failures, f64::max))
+    /// Returns the result so far without a comparison and without regard to slowness, for a time at
+    /// which the old version gets no requests.
+    pub fn uncompared_verdict(&self) -> Verdict {
+        let scores = self.routes.values().map(|state| state.scores.uncompared);
+        verdict_of(scores.fold(self.all.uncompared, f64::max))
     }
 
     /// Returns the strongest evidence against the version, if there is any.
@@ -176,6 +186,12 @@
             rate(window.failures, window.total(), FAILED_MIN).max(step_rate(&old));
         let mut change = Scores {
             failures: ratio(new.failures, new.total(), expected_failed, FAILED_EXCESS),
+            uncompared: ratio(
+                new.failures,
+                new.total(),
+                expected_failed.max(UNCOMPARED_MIN),
+                FAILED_EXCESS,
+            ),
             slowness: 0.0,
         };
         let median = route.old.median_class();
@@ -189,11 +205,15 @@
     }
 }
 
-/// Returns the rate of failures of one step, or zero if it has too few attempts to show one.
+/// Returns an upper estimate of the rate of failures of the old version in one step.
 fn step_rate(old: &evidence::Counts) -> f64 {
     match old.total() {
-        0..MEDIAN_MIN_COUNT => 0.0,
-        total => f64::from(old.failures) / f64::from(total),
+        0..STEP_MIN_COUNT => 0.0,
+        total => {
+            let total = f64::from(total);
+            let rate = f64::from(old.failures) / total;
+            rate + (rate * (1.0 - rate) / total).sqrt()
+        }
     }
 }
 
