--- a/crates/rollout/tests/deployment/mod.rs
+++ b/crates/rollout/tests/deployment/mod.rs
@@ -225,7 +225,11 @@
             true => self.chance(25),
             false => self.chance(8),
         };
-        let slowdown = if is_slowed { 200 + self.rng.below(500) } else { 100 };
+        let slowdown = if is_slowed {
+            200 + self.rng.below(500)
+        } else {
+            100
+        };
         let reported = if self.chance(50) { slowdown } else { 100 };
         let spread = 60 + self.rng.below(100);
         let factor = if self.chance(3) { 7 } else { 1 };
--- a/crates/rollout/tests/simulation.rs
+++ b/crates/rollout/tests/simulation.rs
@@ -22,7 +22,11 @@
 /// Checks that a bad version was rolled back before the deadline, within the exposure limit, and
 /// early enough after its 50th bad response.
 fn check_bad(outcome: &Outcome, what: &str) {
-    assert_eq!(outcome.stage, plan::Stage::RolledBack, "{what}: {outcome:?}");
+    assert_eq!(
+        outcome.stage,
+        plan::Stage::RolledBack,
+        "{what}: {outcome:?}"
+    );
     assert!(outcome.ended < outcome.duration, "{what}: {outcome:?}");
     let limit = outcome.requests as f64 * 0.1 + 50.0;
     assert!(outcome.canaries as f64 <= limit, "{what}: {outcome:?}");
