--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -248,6 +248,7 @@
             self.rejection = Some(picker::Rejection::new(reason, clock::Millis::ZERO));
             return None;
         }
+        rollouts::wait_if_stale(call.shared, &self.service_name).await;
         let target = self.target(call)?;
         let result = self.pick_server(call, &target).await;
         self.launch(call, attempts, &target, result, false)
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -20,6 +20,12 @@
 /// Age of the confirmation of the registry from which on no canary request is sent: the rollout may
 /// have been rolled back.
 const CONFIRMED_MAX_MS: clock::Millis = clock::Millis(2_500);
+/// Longest wait of a request for the registry after this process was frozen.
+const STALE_WAIT_MS: clock::Millis = clock::Millis(300);
+/// Interval of the checks during the wait.
+const STALE_POLL_MS: u64 = 10;
+/// Time without further waits after one in vain.
+const STALE_PAUSE_MS: clock::Millis = clock::Millis(5_000);
 /// Interval of reports while requests in flight at old servers are awaited, and of checks whether a
 /// rollout runs.
 const REPORT_MS: u64 = 250;
@@ -78,12 +84,59 @@
     }
 }
 
+/// Returns whether the copy of the registry was confirmed so recently that its stage is in force.
+fn is_confirmed(shared: &state::Shared) -> bool {
+    let bound = shared.settings.features.rollouts;
+    let half = bound.map_or(clock::Millis::ZERO, |bound| {
+        clock::Millis(bound.rollback.0 / 2)
+    });
+    shared.confirmation_age() < CONFIRMED_MAX_MS.min(half)
+}
+
 /// Returns whether an attempt may be written to its server now.
 pub fn may_send(shared: &state::Shared, backend: &backend::Backend, selection: Selection) -> bool {
-    let is_known = selection != Selection::Canary || shared.confirmation_age() < CONFIRMED_MAX_MS;
+    let is_known = selection != Selection::Canary || is_confirmed(shared);
     selection.admits(backend.role()) && is_known
 }
 
+/// Waits a short time for the registry if the stage of a rollout of the service may have changed
+/// without this process, as after it was frozen: by the stage that it knows, it would send to
+/// servers that are gone. After a wait in vain, requests go on without one for some seconds.
+pub async fn wait_if_stale(shared: &state::Shared, service: &str) {
+    if shared.settings.features.rollouts.is_none() || !may_be_over(shared, service) {
+        return;
+    }
+    let started = shared.clock.now();
+    let next = &shared.rollouts.next_wait_ms;
+    if started.0 < next.load(atomic::Ordering::Acquire) {
+        return;
+    }
+    while may_be_over(shared, service) {
+        if shared.clock.now().since(started) >= STALE_WAIT_MS {
+            let pause = shared.clock.now() + STALE_PAUSE_MS;
+            next.fetch_max(pause.0, atomic::Ordering::AcqRel);
+            return;
+        }
+        tokio::time::sleep(time::Duration::from_millis(STALE_POLL_MS)).await;
+    }
+}
+
+/// Returns whether the traffic of a service may have moved without this process.
+fn may_be_over(shared: &state::Shared, service: &str) -> bool {
+    if is_confirmed(shared) {
+        return false;
+    }
+    let table = shared.table.load();
+    let mut services = table.services.iter();
+    let service = services.find(|known| known.spec.name == service);
+    let division = service.and_then(|service| service.rollout.as_ref());
+    division.is_some_and(|division| {
+        let earliest = clock::Millis(division.rollout.duration.0 / 2);
+        let known_for = shared.clock.now().since(division.known_since);
+        division.rollout.stage == plan::Stage::Canary && known_for >= earliest
+    })
+}
+
 /// Evidence of one route.
 #[derive(Debug, Default)]
 pub struct RouteCells {
@@ -176,7 +229,7 @@
             return Selection::Usual;
         }
         let now = shared.clock.now();
-        let is_confirmed = shared.confirmation_age() < CONFIRMED_MAX_MS;
+        let is_confirmed = is_confirmed(shared);
         if !is_first {
             let is_over = now.since(self.known_since) >= self.rollout.duration;
             return match is_over && !is_confirmed {
@@ -264,6 +317,8 @@
     /// Rollouts in which this process stopped on its own evidence.
     pub own_stops: atomic::AtomicU64,
     reports: atomic::AtomicU64,
+    /// Time before which no request waits for the registry, in milliseconds.
+    next_wait_ms: atomic::AtomicU64,
 }
 
 impl State {
