--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -31,7 +31,13 @@
         Ok(config::Config {
             version: version.map_err(|_| config::Error::Unreadable(text.into_owned()))?,
             routes: Vec::new(),
-            services: Vec::new(),
+            services: vec![config::Service {
+                name: "service".to_owned(),
+                health_path: "/health".to_owned(),
+                connections_max: 100,
+                warmup: clock::Millis::ZERO,
+                cold_requests_per_s: 10.0,
+            }],
             listeners: config::Listeners {
                 head_max_bytes: 16_384,
                 body_max_bytes: 100_000,
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -449,7 +449,7 @@
     }
 }
 
-fn config(class: class::Class) -> config::Config {
+pub(crate) fn config(class: class::Class) -> config::Config {
     config::Config {
         version: 1,
         routes: vec![config::Route {
