--- a/crates/coordinator/src/rollout_times.rs
+++ b/crates/coordinator/src/rollout_times.rs
@@ -49,9 +49,13 @@
                 self.ordered.pop_front();
             }
         }
-        if is_new || known.is_some_and(|known| known.elapsed != rollout.elapsed) {
-            self.mark(now, service, rollout);
-        }
+        // The time in a command is that of its proposal. A replica that knows of a longer time keeps
+        // its own, or each commit would lose the time that it took.
+        let elapsed = match is_new {
+            true => rollout.elapsed,
+            false => rollout.elapsed.max(self.elapsed(now, service)),
+        };
+        self.mark(now, service, rollout.order, elapsed);
     }
 
     /// Starts again after a snapshot replaced the state. The orders in it count as just applied.
@@ -59,7 +63,7 @@
         self.marks.clear();
         self.ordered.clear();
         for (service, rollout) in &state.rollouts {
-            self.mark(now, service, rollout);
+            self.mark(now, service, rollout.order, rollout.elapsed);
             let order = rollout::Order {
                 service: service.clone(),
                 target: rollout.target.clone(),
@@ -69,10 +73,10 @@
         }
     }
 
-    fn mark(&mut self, now: clock::Millis, service: &str, rollout: &rollout::Rollout) {
+    fn mark(&mut self, now: clock::Millis, service: &str, order: u64, elapsed: clock::Millis) {
         let mark = Mark {
-            order: rollout.order,
-            elapsed: rollout.elapsed,
+            order,
+            elapsed,
             applied_at: now,
         };
         self.marks.insert(service.to_owned(), mark);
--- a/crates/coordinator/tests/rollouts.rs
+++ b/crates/coordinator/tests/rollouts.rs
@@ -4,10 +4,12 @@
 
 use group::{Group, WAIT};
 use nutmegdale_base::clock;
-use nutmegdale_coordinator::{operations, rollouts};
-use nutmegdale_registry::rollout;
+use nutmegdale_coordinator::{machine, operations, rollouts};
+use nutmegdale_registry::{rollout, state};
+use nutmegdale_replica::machine::StateMachine;
 use nutmegdale_rollout::plan;
 use nutmegdale_testkit::cluster;
+use std::sync;
 
 fn order(target: &str, secs: u64) -> rollout::Order {
     rollout::Order {
@@ -95,6 +97,43 @@
     assert!(ended.elapsed >= clock::Millis(4_000), "{ended:?}");
 }
 
+/// Guards against a leader that loses the time of each commit, and completes too late, and against a
+/// replica that starts from zero after it has replayed the log.
+#[test]
+fn time_since_an_order_loses_no_commit() {
+    let manual = sync::Arc::new(clock::ManualClock::new(clock::Millis(50_000)));
+    let shared = machine::Shared::new(manual.clone());
+    let mut replica = machine::Machine::new(sync::Arc::clone(&shared));
+    let mut apply = |index, cmd| {
+        let cmd = rmp_serde::to_vec(&cmd).expect("a command can be encoded");
+        replica.apply(index, &cmd, &mut Vec::new());
+    };
+    let mark = |elapsed| {
+        state::Command::AdvanceRollout(rollout::Advance {
+            service: "service".to_owned(),
+            order: 1,
+            stage: plan::Stage::Canary,
+            elapsed: clock::Millis(elapsed),
+        })
+    };
+    let start = rollout::Start {
+        order: order("v2", 12),
+        previous: 0,
+    };
+    let elapsed = || shared.running_rollouts()[0].elapsed;
+    apply(1, state::Command::StartRollout(start));
+    manual.advance(clock::Millis(2_300));
+    apply(2, mark(2_000));
+    assert_eq!(elapsed(), clock::Millis(2_300), "the commit took 300 ms");
+    apply(3, mark(6_000));
+    manual.advance(clock::Millis(100));
+    assert_eq!(
+        elapsed(),
+        clock::Millis(6_100),
+        "a replica that lags behind"
+    );
+}
+
 /// Guards against a state that no quorum confirms.
 #[tokio::test(flavor = "multi_thread")]
 async fn state_is_not_read_without_a_quorum() {
