--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,8 +5,9 @@
 //! `nutmegdale-replica`; [`confirmation`] holds the evidence of how recent its state is;
 //! [`entries`] is the soft-state table of live entry processes, which
 //! [`gossip`] merges between coordinators; [`repair`] decides which member of the group to admit,
-//! promote, demote or remove; `rounds` carries this out and `exchange` sends the gossip; `quota` holds the
-//! coordinator's shares of the limits of accounts; [`service`]
+//! promote, demote or remove; [`rollouts`] takes orders of rollouts and decides on their stages;
+//! `quota` holds the coordinator's shares of the limits of accounts; `rounds` carries the repair out
+//! and `exchange` sends the gossip; [`service`]
 //! starts the coordinator. A front end listens to operators and
 //! passes in a [`nutmegdale_registry::config::Codec`] that decodes their documents. See
 //! [docs/platform.md](../../../docs/platform.md).
@@ -21,6 +22,8 @@
 pub mod operations;
 mod quota;
 pub mod repair;
+mod rollout_times;
+pub mod rollouts;
 mod rounds;
 pub mod service;
 mod sync;
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -1,6 +1,6 @@
 //! Operations of a coordinator for operators, servers and entry processes.
 
-use crate::{calls, confirmation, entries, gossip, machine, metrics, quota};
+use crate::{calls, confirmation, entries, gossip, machine, metrics, quota, rollouts};
 use displaydoc::Display;
 use nutmegdale_base::clock;
 use nutmegdale_consensus::{status, types};
@@ -86,6 +86,7 @@
     pub(crate) soft_state: sync::Mutex<SoftState>,
     /// Limits of accounts, if the deployment has them.
     pub(crate) quota: Option<quota::Quota>,
+    pub(crate) rollouts: rollouts::Rollouts,
     pub(crate) log: slog::Logger,
     /// Rate limit of log lines on announcements, which come in hundreds after a start.
     pub(crate) announcement_lines: limiter::Limiter,
--- a/crates/coordinator/src/service.rs
+++ b/crates/coordinator/src/service.rs
@@ -1,11 +1,12 @@
 //! Startup and main loop of a coordinator.
 
-use crate::{calls, machine, metrics, operations, quota, rounds};
+use crate::{calls, machine, metrics, operations, quota, rollouts, rounds};
 use nutmegdale_base::clock;
 use nutmegdale_consensus::config as timing;
 use nutmegdale_control::groups;
 use nutmegdale_quota::gate;
 use nutmegdale_registry::config;
+use nutmegdale_rollout::bound;
 use nutmegdale_rpc::{listen, server};
 use nutmegdale_settings::model;
 use nutmegdale_storage::disk;
@@ -50,6 +51,8 @@
     pub cluster_token: String,
     /// Bound on the limits of accounts, if the deployment has them.
     pub quotas: Option<gate::Bound>,
+    /// Bounds on rollouts; `None` if the deployment has none.
+    pub rollouts: Option<bound::Bound>,
 }
 
 /// Dependencies of a coordinator that its caller provides.
@@ -125,6 +128,7 @@
             quota: settings
                 .quotas
                 .map(|bound| quota::Quota::new(settings.listen, &bound)),
+            rollouts: rollouts::Rollouts::new(settings.rollouts),
             log,
             announcement_lines: limiter::Limiter::new(operations::ANNOUNCEMENT_LINES_PER_SECOND),
             metrics: metrics::Metrics::new(),
@@ -166,9 +170,16 @@
             drop(stopped.wait_for(|is_stopping| *is_stopping).await);
             self.host.stop().await;
         };
+        let rollouts = async {
+            match self.operations.has_rollouts() {
+                true => self.operations.run_rollouts().await,
+                false => std::future::pending().await,
+            }
+        };
         tokio::select! {
             ended = rounds.run() => ended,
             () = self.operations.run_quota() => Ok(()),
+            () = rollouts => Ok(()),
             _ = async { tokio::join!(serve, stop_group) } => Ok(()),
         }
     }
--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -8,6 +8,7 @@
 use nutmegdale_coordinator::{operations, service};
 use nutmegdale_quota::gate;
 use nutmegdale_registry::{config, follow, state};
+use nutmegdale_rollout::bound;
 use nutmegdale_storage::fake;
 use nutmegdale_telemetry::{clock as telemetry_clock, log};
 use nutmegdale_testkit::{addresses, cluster};
@@ -36,7 +37,13 @@
         Ok(config::Config {
             version: version.map_err(|_| config::Error::Unreadable(text.into_owned()))?,
             routes: Vec::new(),
-            services: Vec::new(),
+            services: vec![config::Service {
+                name: "service".to_owned(),
+                health_path: "/health".to_owned(),
+                connections_max: 100,
+                warmup: clock::Millis::ZERO,
+                cold_requests_per_s: 10.0,
+            }],
             listeners: config::Listeners {
                 head_max_bytes: 16_384,
                 body_max_bytes: 100_000,
@@ -165,6 +172,11 @@
             target_voters_count: self.first_members.len(),
             cluster_token: "token".to_owned(),
             quotas: self.quotas,
+            rollouts: Some(bound::Bound {
+                share: 0.1,
+                slack: 50.0,
+                rollback: clock::Millis(5_000),
+            }),
         };
         let mut seeds = self.first_members.clone();
         seeds.extend(self.members.iter().map(|member| member.address));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,8 @@
 //! and, up to the buffering limit, only once it is complete.
 
 use crate::{
-    backend, call, caller, in_flight, interim, metrics, payload, pool, server_traffic, state,
+    backend, call, caller, in_flight, interim, metrics, payload, pool, rollouts, server_traffic,
+    state,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -60,6 +61,10 @@
     pub deadline: clock::Millis,
     /// Prediction on which the choice of the server is based.
     pub prediction: placement::Prediction,
+    /// Servers that it may go to during a rollout.
+    pub selection: rollouts::Selection,
+    /// Recorder of what it says about the version of its server.
+    pub observer: Option<rollouts::Observer>,
 }
 
 /// Response of a server.
@@ -79,6 +84,8 @@
     pub slowdown_percent: u32,
     /// Predicted free capacity of the server.
     pub room: estimate::Room,
+    /// Selection by which the server was picked.
+    pub selection: rollouts::Selection,
 }
 
 /// Result of one attempt.
@@ -118,7 +125,9 @@
     if time_left == clock::Millis::ZERO {
         return AttemptResult::NotRun(outcome::Reason::Deadline, false);
     }
-    if !attempt.backend.accepts(in_flight.now()) {
+    if !attempt.backend.accepts(in_flight.now())
+        || !rollouts::may_send(shared, &attempt.backend, attempt.selection)
+    {
         return AttemptResult::NotRun(outcome::Reason::NoServer, false);
     }
     if let Some(identity) = &attempt.identity
@@ -133,6 +142,9 @@
         return AttemptResult::Refused(refusal);
     }
     in_flight.is_written = true;
+    if attempt.selection == rollouts::Selection::Canary {
+        metrics::increment(&shared.rollouts.canaries);
+    }
     metrics::increment(&shared.metrics.sends);
     let round_trip = round_trip(shared, &mut in_flight, connection, attempt, time_left);
     match tokio::time::timeout(duration(time_left), round_trip).await {
@@ -165,6 +177,7 @@
         request_id: attempt.request_id,
         end: attempt.deadline + call::DEADLINE_MARGIN_MS,
         room: attempt.prediction.room(),
+        selection: attempt.selection,
     };
     let mut req = req.map(|()| attempt.payload.into_body());
     let interim = interim::Limit::watch(&mut req);
@@ -200,6 +213,9 @@
 
 /// Records a failure after which it is unknown whether the request ran.
 fn broken(in_flight: &mut in_flight::InFlight, failure: health::Failure) -> AttemptResult {
+    if matches!(failure, health::Failure::Answer) {
+        in_flight.observe_failure();
+    }
     in_flight.record_failure(failure);
     AttemptResult::Unknown(outcome::Reason::BrokenAnswer)
 }
@@ -211,6 +227,7 @@
     /// Time at which a streamed response fails.
     end: clock::Millis,
     room: estimate::Room,
+    selection: rollouts::Selection,
 }
 
 impl SentRequest {
@@ -293,6 +310,7 @@
             body,
             buffered_bytes,
             room: self.room,
+            selection: self.selection,
             elapsed: now.since(in_flight.started),
             slowdown_percent: last
                 .map_or(signal::NO_SLOWDOWN_PERCENT, |aged| aged.slowdown_percent),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,8 +1,8 @@
 //! State that all tasks of a gateway share.
 
 use crate::{
-    backend, buffer, caller, decisions, dialect, metrics, pool, quota, server_traffic, settings,
-    table,
+    backend, buffer, caller, decisions, dialect, metrics, pool, quota, rollouts, server_traffic,
+    settings, table,
 };
 use arc_swap::ArcSwap;
 use hyper::header;
@@ -61,6 +61,10 @@
     pub decision_log: decisions::DecisionLog,
     /// Logger of everything else.
     pub log: slog::Logger,
+    /// State of rollouts that outlives tables.
+    pub rollouts: rollouts::State,
+    /// Number that identifies the start of the process.
+    pub boot: u64,
     seed: atomic::AtomicU64,
 }
 
@@ -116,6 +120,8 @@
             server_traffic: server_traffic::ServerTraffic::new(),
             decision_log: decisions::DecisionLog::new(dependencies.log.clone()),
             log: dependencies.log,
+            rollouts: rollouts::State::default(),
+            boot: dependencies.seed,
             seed: atomic::AtomicU64::new(dependencies.seed),
         }
     }
@@ -154,6 +160,12 @@
         clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Acquire))
     }
 
+    /// Returns how long ago every change accepted until then was in the routing table.
+    pub fn confirmation_age(&self) -> clock::Millis {
+        let confirmed_at = clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Relaxed));
+        self.clock.now().since(confirmed_at)
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> Vec<u8> {
         let mut samples = vec![
@@ -161,7 +173,7 @@
                 name: "nutmegdale_registry_confirmation_age_ms",
                 help: "Age of the evidence that the routing table has every accepted change.",
                 kind: telemetry::Kind::Gauge,
-                value: self.clock.now().since(self.confirmed_at()).0,
+                value: self.confirmation_age().0,
             },
             telemetry::Sample {
                 name: "nutmegdale_buffered_bytes",
@@ -179,6 +191,9 @@
         if self.table.load().accounts.is_some() {
             samples.extend(self.callers.samples());
         }
+        if self.settings.features.rollouts.is_some() {
+            samples.extend(self.rollouts.samples());
+        }
         let text = self.metrics.text(&samples);
         let quota = self.quota.as_ref().map(|quota| quota.metrics_text());
         [
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,6 +1,6 @@
 //! Immutable routing table that the path of a request reads: routes, services and servers.
 
-use crate::{backend, precedence, settings};
+use crate::{backend, precedence, rollouts, settings};
 use nutmegdale_accounts::index;
 use nutmegdale_base::{clock, digest};
 use nutmegdale_dispatch::{
@@ -55,6 +55,8 @@
     pub slots_count: u32,
     /// Recent refusals of its requests.
     pub refusals: sync::Arc<precedence::Refusals>,
+    /// Division between two versions while a rollout runs.
+    pub rollout: Option<sync::Arc<rollouts::Division>>,
 }
 
 /// Routes by host, in descending order of prefix length.
@@ -130,6 +132,7 @@
     levels: collections::HashMap<String, sync::Arc<levels::Levels>>,
     refusals: collections::HashMap<String, sync::Arc<precedence::Refusals>>,
     zones_out: collections::BTreeSet<String>,
+    divisions: rollouts::Divisions,
 }
 
 impl Builder {
@@ -147,6 +150,7 @@
             levels: collections::HashMap::new(),
             refusals: collections::HashMap::new(),
             zones_out: collections::BTreeSet::new(),
+            divisions: rollouts::Divisions::default(),
         }
     }
 
@@ -168,10 +172,17 @@
             let accounts = config.accounts.as_deref();
             self.accounts = accounts.map(|list| sync::Arc::new(index::Index::new(list)));
         }
+        let settings = sync::Arc::clone(&self.settings);
+        let rollouts = rollouts::Source {
+            bound: settings.features.rollouts,
+            own_name: &settings.entry.name,
+            copy,
+            config,
+        };
         let services = config.map_or(&[][..], |config| &config.services);
         let services: Vec<_> = services
             .iter()
-            .map(|spec| self.build_service(now, spec, &processes))
+            .map(|spec| self.build_service(now, spec, &processes, rollouts))
             .collect();
         Table {
             config_version: copy.version,
@@ -192,7 +203,10 @@
             let announcement = &known.announcement;
             let incarnation = (announcement.id.clone(), announcement.born);
             let backend = match self.backends.get(&incarnation) {
-                Some(backend) if backend.announcement.address == announcement.address => {
+                Some(backend)
+                    if backend.announcement.address == announcement.address
+                        && backend.announcement.version == announcement.version =>
+                {
                     sync::Arc::clone(backend)
                 }
                 _ => {
@@ -205,7 +219,8 @@
             if known.cold_until > now {
                 backend.extend_cold_until(known.cold_until);
             }
-            let is_out = copy.zones_out.contains(&announcement.zone);
+            let is_out = copy.zones_out.contains(&announcement.zone)
+                || copy.is_excluded(&announcement.service, &announcement.version);
             if announcement.state == server::State::Ready && !is_out {
                 accepting.insert(incarnation);
             }
@@ -270,6 +285,7 @@
         now: clock::Millis,
         spec: &config::Service,
         processes: &Processes<'_>,
+        rollouts: rollouts::Source<'_>,
     ) -> Service {
         let refusals = self.refusals(&spec.name);
         let own_node = entry_node(&self.settings.entry);
@@ -291,6 +307,8 @@
             });
             backend.pool.set_open_max(open_max);
         }
+        let all = self.backends.values().cloned();
+        let rollout = self.divisions.build(rollouts, &spec.name, &backends, all);
         mark_preferred(&self.settings.entry.name, &backends);
         let budget = self.budgets.entry(spec.name.clone()).or_insert_with(|| {
             sync::Arc::new(budget::Budget::new(
@@ -307,6 +325,7 @@
             budget: sync::Arc::clone(budget),
             levels: self.levels.get(&spec.name).cloned().unwrap_or_default(),
             refusals,
+            rollout,
         }
     }
 
@@ -394,15 +413,16 @@
     cold::Node::new(&entry.name, &entry.zone)
 }
 
-/// Marks the servers that this process prefers: the same number for each distance, chosen by
-/// rendezvous hashing so that the processes spread evenly over the servers.
+/// Marks the servers that this process prefers: the same number for each distance and part in a
+/// rollout, chosen by rendezvous hashing so that the processes spread evenly over the servers.
 fn mark_preferred(own_name: &str, backends: &[sync::Arc<backend::Backend>]) {
     let rank = |backend: &backend::Backend| digest::of(&(own_name, backend.id()));
     let mut ranked: Vec<_> = backends.iter().collect();
     ranked.sort_by_key(|backend| (backend.distance, rank(backend)));
     let mut counts = collections::HashMap::new();
     for backend in ranked {
-        let count = counts.entry(backend.distance).or_insert(0);
+        let group = (backend.distance, backend.role() as u8);
+        let count = counts.entry(group).or_insert(0);
         backend.set_preferred(*count < placement::PREFERRED_COUNT);
         *count += 1;
     }
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -513,6 +513,7 @@
             slots: 4,
             state: registry::State::Ready,
             cold_left: clock::Millis::ZERO,
+            version: String::new(),
         };
         let known = follow::Server {
             announcement,
@@ -550,7 +551,7 @@
     }
 }
 
-fn config(class: class::Class) -> config::Config {
+pub(crate) fn config(class: class::Class) -> config::Config {
     config::Config {
         version: 1,
         routes: vec![config::Route {
