gateway: the lease also binds a copy without accounts, where a revocation time is set

Cause: a process that is cut off while the configuration has no accounts would serve a key for ever that a later configuration, with accounts again, no longer has.

Ruled out: refusing every request of such a copy, since its callers need no key.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -40,11 +40,12 @@
         // Read first: the table may only be newer than its evidence.
         let confirmed_at = shared.confirmed_at();
         let table = shared.table.load();
-        // The configuration no longer asks for keys, so none was withdrawn.
-        let Some(copy) = copy_of(shared, &table, confirmed_at) else {
-            return Ok(());
-        };
-        copy.confirm(&self.account, &self.digest)
+        match copy_of(shared, &table, confirmed_at) {
+            Some(copy) => copy.confirm(&self.account, &self.digest),
+            None if is_expired(shared, confirmed_at) => Err(identify::Refusal::StaleCopy),
+            // The configuration no longer asks for keys, so none was withdrawn.
+            None => Ok(()),
+        }
     }
 }
 
@@ -95,14 +96,25 @@
     table: &'a table::Table,
     confirmed_at: clock::Millis,
 ) -> Option<identify::Copy<'a>> {
-    let features = shared.settings.features;
     Some(identify::Copy {
         index: table.accounts.as_ref()?,
-        lease: lease::Lease::new(features.accounts.and_then(|bound| bound.revocation)),
+        lease: lease_of(shared),
         age: shared.clock.now().since(confirmed_at),
     })
 }
 
+fn lease_of(shared: &state::Shared) -> lease::Lease {
+    let bound = shared.settings.features.accounts;
+    lease::Lease::new(bound.and_then(|bound| bound.revocation))
+}
+
+/// Returns whether no key may be accepted. A copy without accounts may be so old that a newer one has
+/// withdrawn a key.
+fn is_expired(shared: &state::Shared, confirmed_at: clock::Millis) -> bool {
+    let age = shared.clock.now().since(confirmed_at);
+    lease_of(shared).permits(age) == lease::Use::Nothing
+}
+
 /// Identifies the caller of a request and admits it under the limit of its account.
 ///
 /// # Errors
@@ -120,12 +132,20 @@
         identity: None,
         has_accounts: copy.is_some(),
     };
+    let shared = call.shared;
+    let parse_key = || shared.dialect.parse_key(arrival.headers);
     let Some(copy) = copy else {
-        return Ok(caller);
+        let may_be_withdrawn = !route.is_public
+            && is_expired(shared, arrival.confirmed_at)
+            && parse_key() != key::Presented::Missing;
+        return match may_be_withdrawn {
+            true => Err(refuse(call, identify::Refusal::StaleCopy)),
+            false => Ok(caller),
+        };
     };
-    let presented = call.shared.dialect.parse_key(arrival.headers);
+    let presented = parse_key();
     let identified = copy.identify(route.is_public, presented);
-    call.shared.callers.log_lease(call.shared, &copy);
+    shared.callers.log_lease(shared, &copy);
     let (account, digest) = match identified {
         Ok(identify::Caller::Public) => return Ok(caller),
         Ok(identify::Caller::Account(account, digest)) => (account, digest),
@@ -140,7 +160,7 @@
     caller.priority = account.priority.unwrap_or(route.priority);
     if account.limit.is_some() {
         let time_left = call.time_left();
-        let verdict = call.shared.quota_gate.acquire(account, time_left).await;
+        let verdict = shared.quota_gate.acquire(account, time_left).await;
         if let Some(refused) = refuse_over_limit(call, verdict) {
             return Err(refused);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -163,7 +163,7 @@
                 value: self.buffer_budget.exhausted_count(),
             },
         ];
-        if self.table.load().accounts.is_some() {
+        if self.settings.features.accounts.is_some() || self.table.load().accounts.is_some() {
             samples.extend(self.callers.samples());
         }
         let text = self.metrics.text(&samples);
--- a/crates/gateway/tests/accounts.rs
+++ b/crates/gateway/tests/accounts.rs
@@ -50,12 +50,13 @@
     /// Starts a gateway whose configuration has the account "acme" with the key "secret-1", and a
     /// public route at "/open/".
     async fn start(class: class::Class, answers: &[Answer]) -> Lab {
-        Lab::start_gated(class, answers, None).await
+        Lab::start_with(class, answers, features(), None).await
     }
 
-    async fn start_gated(
+    async fn start_with(
         class: class::Class,
         answers: &[Answer],
+        features: settings::Features,
         gate: Option<sync::Arc<dyn gate::Gate>>,
     ) -> Lab {
         let heads = Heads::default();
@@ -65,7 +66,7 @@
             servers.push((address, "zone"));
         }
         let setup = stub::Setup {
-            features: features(),
+            features,
             gate,
             ..stub::Setup::default()
         };
@@ -353,7 +354,7 @@
         });
         let handle: sync::Arc<dyn gate::Gate> = sync::Arc::clone(&gate) as _;
         let class = class::Class::OneTimeFiling;
-        let mut lab = Lab::start_gated(class, &[answer], Some(handle)).await;
+        let mut lab = Lab::start_with(class, &[answer], features(), Some(handle)).await;
         let counts = || {
             let count = |counter: &atomic::AtomicUsize| counter.load(atomic::Ordering::SeqCst);
             (count(&gate.acquired), count(&gate.refunded))
@@ -379,14 +380,24 @@
 }
 
 /// Guards against a deployment without accounts that loses headers or refuses requests, at any age
-/// of its copy.
+/// of its copy. Only one whose settings ask for a revocation time refuses keys, once a newer
+/// configuration may have withdrawn them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn without_accounts_nothing_is_required_or_removed() {
-    let mut lab = Lab::start(class::Class::UrgentLookup, &[Answer::Complete]).await;
-    lab.set_accounts(None);
-    lab.harness.advance(clock::Millis(60_000));
-    assert_eq!(lab.status("/path/x", b"").await, 200);
-    lab.take_heads();
+    let (class, answers) = (class::Class::UrgentLookup, [Answer::Complete]);
+    let mut bound = Lab::start(class, &answers).await;
+    let features = settings::Features::default();
+    let mut lab = Lab::start_with(class, &answers, features, None).await;
+    for lab in [&mut bound, &mut lab] {
+        lab.set_accounts(None);
+        assert_eq!(lab.status("/path/x", KEY).await, 200);
+        lab.harness.advance(clock::Millis(60_000));
+        assert_eq!(lab.status("/path/x", b"").await, 200);
+        assert_eq!(lab.status("/open/x", KEY).await, 200);
+        lab.take_heads();
+    }
+    assert_eq!(bound.status("/path/x", KEY).await, 503);
+    assert_eq!(bound.take_heads().len(), 0);
     let headers = b"key: secret-9\r\nkey: two\r\naccount: mine\r\n";
     assert_eq!(lab.status("/path/x", headers).await, 200);
     let heads = lab.take_heads();
