gateway: syncs are not held while the evidence is old, where account keys depend on it

Cause: after a loss of contact or a suspension, keys stay refused until the next reply, which a coordinator without changes holds for 0.5 s.

Ruled out: a shorter hold for all syncs, since 116 processes would send twice as many; no spacing, since a coordinator of an older build gives no evidence and would be asked without pause.

Change: with accounts in the settings, a sync is not held if the evidence is 2 s old or more, at most one in 0.5 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,6 +11,9 @@
 
 /// Time for which a coordinator may hold a sync request until something changes.
 const HOLD_MS: clock::Millis = clock::Millis(500);
+/// Age of the evidence from which a sync is not held, where account keys depend on it. In normal
+/// operation it is below: 0.7 s at the coordinator, two hold times here.
+const UNHELD_AGE_MS: clock::Millis = clock::Millis(2_000);
 /// Timeout of a sync beyond the hold time, after which the next coordinator is tried.
 const RESPONSE_TIMEOUT_MS: clock::Millis = clock::Millis(400);
 /// Backoff after every coordinator has failed once.
@@ -33,6 +36,8 @@
     coordinators: Vec<follow::Coordinator>,
     /// Time of the last response from a current coordinator.
     last_current: clock::Millis,
+    /// Time of the last sync that was not held.
+    last_unheld: clock::Millis,
     failover: failover::Failover,
     /// Coordinator that gave the last current response.
     followed: Option<net::SocketAddr>,
@@ -57,6 +62,7 @@
             decoded_version: 0,
             coordinators: Vec::new(),
             last_current: now,
+            last_unheld: clock::Millis::ZERO,
             failover: failover::Failover::new(),
             followed: None,
         }
@@ -110,14 +116,14 @@
     /// Syncs with one coordinator; returns whether to stay with it.
     async fn sync(&mut self, target: net::SocketAddr) -> bool {
         let is_ready = !self.shared.is_stopping();
+        let sent_at = self.shared.clock.now();
         let req = follow::SyncRequest {
             entry: self.shared.settings.entry.clone(),
             is_ready: is_ready && self.copy.version > 0,
             index: self.copy.index,
             entries_digest: follow::entries_digest(&self.copy.entries),
-            hold: HOLD_MS,
+            hold: self.hold(sent_at),
         };
-        let sent_at = self.shared.clock.now();
         let client = &self.shared.client;
         let update = tokio::select! {
             update = request_changes(client, target, &req) => update,
@@ -152,6 +158,21 @@
         is_current
     }
 
+    /// Returns the hold time of the next sync.
+    ///
+    /// After a loss of contact or a suspension, callers with keys are refused until there is new
+    /// evidence, which need not wait for a change. Such syncs are spaced, since a coordinator of an
+    /// older build gives no evidence at all.
+    fn hold(&mut self, now: clock::Millis) -> clock::Millis {
+        let is_old = now.since(self.shared.confirmed_at()) >= UNHELD_AGE_MS;
+        let has_accounts = self.shared.settings.features.accounts.is_some();
+        if !has_accounts || !is_old || now.since(self.last_unheld) < HOLD_MS {
+            return HOLD_MS;
+        }
+        self.last_unheld = now;
+        clock::Millis::ZERO
+    }
+
     fn decode(&self) -> Result<config::Config, config::Error> {
         let unreadable = |err: std::io::Error| config::Error::Unreadable(err.to_string());
         let document = self.copy.document.unpack().map_err(unreadable)?;
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use nutmegdale_base::clock;
-use nutmegdale_gateway::{service, state};
+use nutmegdale_gateway::{service, settings, state};
 use nutmegdale_registry::{config, document, feed, follow};
 use nutmegdale_rpc::{listen, server};
 use nutmegdale_telemetry::{clock as telemetry_clock, log};
@@ -23,6 +23,8 @@
     version: atomic::AtomicU64,
     is_current: atomic::AtomicBool,
     is_silent: atomic::AtomicBool,
+    /// Number of syncs that asked not to be held.
+    unheld_count: atomic::AtomicUsize,
 }
 
 impl Coordinator {
@@ -33,6 +35,9 @@
     async fn sync(&self, req: follow::SyncRequest, all: Vec<follow::Coordinator>) -> server::Reply {
         let is_current = || self.is_current.load(atomic::Ordering::Relaxed);
         let held_since = time::Instant::now();
+        let is_unheld = usize::from(req.hold == clock::Millis::ZERO);
+        self.unheld_count
+            .fetch_add(is_unheld, atomic::Ordering::Relaxed);
         let hold = time::Duration::from_millis(req.hold.0);
         while is_current() && self.version() <= req.index && held_since.elapsed() < hold {
             tokio::time::sleep(time::Duration::from_millis(5)).await;
@@ -94,6 +99,7 @@
             version: atomic::AtomicU64::new(1),
             is_current: atomic::AtomicBool::new(true),
             is_silent: atomic::AtomicBool::new(false),
+            unheld_count: atomic::AtomicUsize::new(0),
         }));
         listeners.push(listener);
     }
@@ -142,13 +148,14 @@
     stopped: &watch::Receiver<bool>,
 ) -> sync::Arc<state::Shared> {
     let codec = sync::Arc::new(stub::FixedCodec);
-    start_gateway_with(coordinators, stopped, codec).await
+    start_gateway_with(coordinators, stopped, codec, settings::Features::default()).await
 }
 
 async fn start_gateway_with(
     coordinators: &[sync::Arc<Coordinator>],
     stopped: &watch::Receiver<bool>,
     codec: sync::Arc<dyn config::Codec>,
+    features: settings::Features,
 ) -> sync::Arc<state::Shared> {
     let seeds = coordinators.iter().map(|c| c.address).collect();
     let (seeds_tx, seeds) = watch::channel(seeds);
@@ -160,6 +167,7 @@
         seed: 1,
     };
     let mut settings = stub::settings();
+    settings.features = features;
     settings.entry.address = free_address().await;
     let gateway = service::Gateway::new(settings, seeds, dependencies, stopped.clone());
     let shared = sync::Arc::clone(&gateway.shared);
@@ -269,7 +277,8 @@
     let coordinators = start(&["zone"], &stopped).await;
     let codec = sync::Arc::new(FailingCodec::default());
     let handle: sync::Arc<dyn config::Codec> = sync::Arc::clone(&codec) as _;
-    let shared = start_gateway_with(&coordinators, &stopped, handle).await;
+    let features = settings::Features::default();
+    let shared = start_gateway_with(&coordinators, &stopped, handle, features).await;
     wait_version(&shared, 1).await;
     let first = shared.confirmed_at();
     tokio::time::sleep(SYNC).await;
@@ -286,3 +295,43 @@
     wait_version(&shared, 3).await;
     assert!(shared.confirmed_at() > confirmed);
 }
+
+/// Cuts an entry process off for 4 s; returns the number of syncs meanwhile that asked not to be held.
+async fn count_unheld_syncs(features: settings::Features) -> usize {
+    let (_stop, stopped) = watch::channel(false);
+    let coordinators = start(&["zone"], &stopped).await;
+    let codec = sync::Arc::new(stub::FixedCodec);
+    let shared = start_gateway_with(&coordinators, &stopped, codec, features).await;
+    wait_version(&shared, 1).await;
+    let own = &coordinators[0];
+    let count = || own.unheld_count.load(atomic::Ordering::Relaxed);
+    let pause = |millis| tokio::time::sleep(time::Duration::from_millis(millis));
+    pause(1_200).await;
+    assert_eq!(count(), 0, "in normal operation");
+    own.is_silent.store(true, atomic::Ordering::Relaxed);
+    pause(4_000).await;
+    own.is_silent.store(false, atomic::Ordering::Relaxed);
+    let lost_count = count();
+    pause(1_200).await;
+    let confirmed_at = shared.confirmed_at();
+    pause(1_200).await;
+    assert!(count() <= lost_count + 1, "contact is back");
+    assert!(shared.confirmed_at() > confirmed_at);
+    lost_count
+}
+
+/// Guards against a process that refuses keys for longer than it must after it was cut off, against
+/// syncs in quick succession where there is no evidence, and against more syncs without accounts.
+#[tokio::test]
+async fn sync_after_a_loss_of_contact_is_not_held() {
+    let accounts = settings::Features {
+        accounts: Some(settings::Accounts { revocation: None }),
+        ..settings::Features::default()
+    };
+    let without = settings::Features::default();
+    let (count, without_count) =
+        tokio::join!(count_unheld_syncs(accounts), count_unheld_syncs(without));
+    // At most one in each hold time of 0.5 s.
+    assert!((1..=8).contains(&count), "{count} syncs");
+    assert_eq!(without_count, 0);
+}
