quota: ask up to two other coordinators, report fewer small changes

Reports and replies had 1.7 and 2.3 KB for 77 accounts at 6 coordinators, twice a second, mostly for the noise of small accounts. Wider tolerances for short coordinators were ruled out, as a single one got 91% of its limit.

A refused caller takes a place among the return times only if it can return then: callers honour a retry time up to a third of their time left.

--- a/crates/quota/src/division.rs
+++ b/crates/quota/src/division.rs
@@ -44,10 +44,12 @@
 const HEADROOM: f64 = 1.2;
 /// Demand that is assumed in addition to the reported one, as a part of the limit.
 const ASSUMED_DEMAND: f64 = 0.02;
-/// Difference from the planned share below which a share stays, as a part of an even share.
-const TOLERANCE: f64 = 0.05;
+/// Difference from the planned share below which a share stays, as a part of an even share: for a
+/// coordinator whose demand exceeds its share, and for any other.
+const TOLERANCE_SHORT: f64 = 0.05;
+const TOLERANCE: f64 = 0.25;
 /// Smallest change that is worth a message, as a part of an even share.
-const STEP_MIN: f64 = 0.01;
+const STEP_MIN: f64 = 0.02;
 
 /// Why a report is not answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -447,7 +449,11 @@
             let is_exceeded = in_use.differs(whole.min(in_use), even(STEP_MIN));
             let held = account.held.entry(id).or_default();
             let old = held.confirmed;
-            let is_off = planned.differs(old, even(TOLERANCE)) || is_exceeded;
+            let tolerance = match held.demand > old.rate {
+                true => TOLERANCE_SHORT,
+                false => TOLERANCE,
+            };
+            let is_off = planned.differs(old, even(tolerance)) || is_exceeded;
             let share = planned.min(old.plus(free));
             if !is_off || !share.differs(old, even(STEP_MIN)) {
                 continue;
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -24,9 +24,14 @@
 const RETURN_MAX_AGE: clock::Millis = clock::Millis(500);
 /// Time after a refusal for which returned tokens are sent without waiting for the next question.
 const SHORT: clock::Millis = clock::Millis(1_000);
-/// Interval at which another coordinator is asked for tokens of an exhausted account, since its zone may
+/// Interval at which other coordinators are asked for tokens of an exhausted account, since its zone may
 /// have tokens that are not needed there.
 const ELSEWHERE_INTERVAL: clock::Millis = clock::Millis(500);
+/// Largest number of other coordinators that are asked then.
+const ELSEWHERE_MAX_COUNT: u32 = 2;
+/// Callers wait for a retry time of up to their remaining time divided by this. Those that return
+/// earlier do not hold a place among those that return in order.
+const HONOURED_DIVISOR: u64 = 3;
 /// Shortest retry time.
 const RETRY_MIN: clock::Millis = clock::Millis(20);
 /// Retry time if no coordinator answers, which is that of the choice of another one.
@@ -63,8 +68,10 @@
     lot: Option<Lot>,
     exhausted_until: clock::Millis,
     refused_at: Option<clock::Millis>,
-    /// Time from which another coordinator may be asked.
+    /// Time from which other coordinators may be asked.
     elsewhere_at: clock::Millis,
+    /// Other coordinators that may still be asked for this question.
+    elsewhere_left: u32,
     /// Return time of the next refused caller.
     return_at: clock::Millis,
     interval: clock::Millis,
@@ -92,7 +99,7 @@
         self.refused_at = Some(now);
         let earliest = self.exhausted_until.max(now + RETRY_MIN);
         let at = self.return_at.max(earliest);
-        if at.since(now) <= time_left {
+        if at.since(now).0 <= time_left.0 / HONOURED_DIVISOR {
             self.return_at = at + self.interval;
         }
         gate::Verdict::OverLimit {
@@ -175,18 +182,23 @@
         }
         if !ask.is_elsewhere {
             self.exhausted_until = now + give.exhausted_for;
-            if now >= self.elsewhere_at && !self.waiting.is_empty() {
+            self.elsewhere_left = 0;
+            if now >= self.elsewhere_at {
                 self.elsewhere_at = now + ELSEWHERE_INTERVAL;
-                return Some(Ask {
-                    account: ask.account.clone(),
-                    waiting: self.waiting.len() as u32,
-                    ahead: 0,
-                    arrived: 0,
-                    returned: 0,
-                    is_elsewhere: true,
-                });
+                self.elsewhere_left = ELSEWHERE_MAX_COUNT;
             }
         }
+        if self.elsewhere_left > 0 && !self.waiting.is_empty() {
+            self.elsewhere_left -= 1;
+            return Some(Ask {
+                account: ask.account.clone(),
+                waiting: self.waiting.len() as u32,
+                ahead: 0,
+                arrived: 0,
+                returned: 0,
+                is_elsewhere: true,
+            });
+        }
         while let Some(waiting) = self.waiting.pop_front() {
             let verdict = self.refuse(now, waiting.time_left);
             verdicts.push((waiting.ticket, verdict));
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -43,8 +43,8 @@
 const DEMAND_REQUESTS: f64 = 2.0;
 const DEMAND_MEMORY_S: (f64, f64) = (0.5, 5.0);
 /// Change of a demand that is reported, relative to the last report and to the limit.
-const DEMAND_CHANGE: f64 = 0.1;
-const DEMAND_CHANGE_OF_LIMIT: f64 = 0.01;
+const DEMAND_CHANGE: f64 = 0.2;
+const DEMAND_CHANGE_OF_LIMIT: f64 = 0.03;
 /// Smallest change of a demand that is reported, in requests per second.
 const DEMAND_MIN: f64 = 0.01;
 /// Change of a demand that is reported without delay, relative to the share and to the limit: another
