quota: processes that compete take turns, so that callers return one by one

Processes that were refused at the same time all named the end of the quiet time as the first retry time: ten callers at 100 ms with one token due. The coordinator now names each process its turn. A further test guards the return of tokens: once, and only as many as were admitted in the last half second.

--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -182,6 +182,9 @@
         }
         if !ask.is_elsewhere {
             self.exhausted_until = now + give.exhausted_for;
+            if self.return_at < now {
+                self.return_at = now + give.first_in;
+            }
             self.elsewhere_left = 0;
             if now >= self.elsewhere_at {
                 self.elsewhere_at = now + ELSEWHERE_INTERVAL;
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -79,6 +79,8 @@
     pub exhausted_for: clock::Millis,
     /// Interval at which tokens become free for this process.
     pub interval: clock::Millis,
+    /// Time until the first of them, in its turn among the processes that compete.
+    pub first_in: clock::Millis,
 }
 
 /// Part of a limit.
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -155,9 +155,9 @@
                 until,
             });
         }
-        if is_refused && !ask.is_elsewhere {
-            self.competing.insert(holder, now);
-        }
+        self.competing.retain(|_, at| now.since(*at) < COMPETING);
+        let is_competing = is_refused && !ask.is_elsewhere;
+        let is_first = is_competing && self.competing.insert(holder, now).is_none();
         let rate = self.share.rate.max(1e-6);
         let interval = meter::span(self.competing_count(now).max(1.0) / rate);
         let next = meter::span((1.0 - self.level).max(0.0) / rate);
@@ -165,6 +165,12 @@
             true => EXHAUSTED_MOVING_MAX,
             false => EXHAUSTED_MAX,
         };
+        // Processes that compete take turns, so that their callers do not return together.
+        let turn = match is_first {
+            true => self.competing.len().saturating_sub(1),
+            false => self.competing.range(..holder).count(),
+        } as f64;
+        let first_in = next + meter::span(turn / rate);
         let exhausted_for = interval.max(next).clamp(EXHAUSTED_MIN, longest);
         Give {
             prompt,
@@ -174,6 +180,7 @@
                 false => clock::Millis::ZERO,
             },
             interval,
+            first_in,
         }
     }
 
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -3,7 +3,7 @@
 mod sim;
 
 use nutmegdale_base::{clock, rng, rng::Rng};
-use nutmegdale_quota::gate;
+use nutmegdale_quota::{gate, holder};
 
 /// Returns the schedule as seen by one process that gets all requests.
 fn merge(schedule: &sim::Schedule) -> sim::Schedule {
@@ -244,6 +244,35 @@
     }
 }
 
+/// Guards against retry times at which the callers of all processes return together: processes that
+/// are refused one after another take turns.
+#[test]
+fn callers_of_many_processes_return_one_by_one() {
+    let limits = sim::limits(20.0, 20.0);
+    let mut world = sim::World::new(12, 1, 1, &limits);
+    world.run(&Vec::new(), 2_000, |_| {});
+    let now = clock::Millis(world.now);
+    let pool = &mut world.nodes[0].pool;
+    let mut first_refused = |id: u64| {
+        let mut holder = holder::Holder::new(id);
+        for _ in 0..40 {
+            holder.admit(now, "account", clock::Millis(60_000));
+        }
+        let mut question = holder.question(now).expect("requests wait");
+        let reply = pool.take(now, &question);
+        holder.settle(now, now, &mut question, &reply);
+        let verdicts = holder.give_up(now, &question);
+        let retries = verdicts.iter().filter_map(|(_, verdict)| match verdict {
+            gate::Verdict::OverLimit { retry_after } => Some(retry_after.0),
+            _ => None,
+        });
+        retries.min().expect("some are refused")
+    };
+    let retries: Vec<_> = (1..=10).rev().map(&mut first_refused).collect();
+    let in_order = |pair: &[u64]| pair[1] >= pair[0] + 50;
+    assert!(retries.windows(2).all(in_order), "{retries:?}");
+}
+
 /// Guards against a token that is used after the process was frozen, and against retry times at
 /// which all refused callers return together.
 #[test]
@@ -254,12 +283,10 @@
     let schedule: sim::Schedule = (600..1_600).step_by(10).map(|at| (at, 0)).collect();
     world.run(&schedule, 1_600, |_| {});
     let now = clock::Millis(world.now);
-    let holder = &mut world.processes[0].holder;
+    let process = &mut world.processes[0].holder;
     let retries = (0..5).map(|_| {
-        let admission = holder.admit(now, "account", clock::Millis(3_000));
-        let nutmegdale_quota::holder::Admission::Decided(gate::Verdict::OverLimit { retry_after }) =
-            admission
-        else {
+        let admission = process.admit(now, "account", clock::Millis(3_000));
+        let holder::Admission::Decided(gate::Verdict::OverLimit { retry_after }) = admission else {
             panic!("not refused: {admission:?}");
         };
         retry_after.0
@@ -270,7 +297,41 @@
         "{retries:?}"
     );
     let later = clock::Millis(world.now + 3_000);
-    let admission = holder.admit(later, "account", clock::Millis(2_000));
-    let is_waiting = matches!(admission, nutmegdale_quota::holder::Admission::Waits(_));
+    let admission = process.admit(later, "account", clock::Millis(2_000));
+    let is_waiting = matches!(admission, holder::Admission::Waits(_));
     assert!(is_waiting, "{admission:?}");
 }
+
+/// Guards against tokens of rejected requests that are lost, that count twice, or that come back so
+/// late that they add to the limit of a later window.
+#[test]
+fn tokens_of_rejected_requests_are_returned_once_and_soon() {
+    let limits = sim::limits(20.0, 20.0);
+    let mut world = sim::World::new(13, 1, 1, &limits);
+    world.run(&Vec::new(), 2_000, |_| {});
+    let now = clock::Millis(world.now);
+    let pool = &mut world.nodes[0].pool;
+    let mut holder = holder::Holder::new(1);
+    let mut ask = |holder: &mut holder::Holder, now, count| {
+        for _ in 0..count {
+            holder.admit(now, "account", clock::Millis(1_000));
+        }
+        let mut question = holder.question(now).expect("requests wait");
+        let returned = question.asks[0].returned;
+        let reply = pool.take(now, &question);
+        assert!(!pool.take(now, &question).is_available, "counted twice");
+        let verdicts = holder.settle(now, now, &mut question, &reply);
+        let is_granted = |(_, verdict): &&(u64, gate::Verdict)| *verdict == gate::Verdict::Granted;
+        (returned, verdicts.iter().filter(is_granted).count())
+    };
+    let (_, granted) = ask(&mut holder, now, 3);
+    assert_eq!(granted, 3);
+    (0..5).for_each(|_| holder.refund(now, "account"));
+    // Some of them use tokens that were granted ahead.
+    let (returned, _) = ask(&mut holder, now, 4);
+    assert_eq!(returned, 3, "more than were admitted");
+    let late = clock::Millis(now.0 + 1_200);
+    holder.refund(late, "account");
+    let (returned, _) = ask(&mut holder, late, 1);
+    assert_eq!(returned, 0, "admitted long ago");
+}
