coordinator, gateway: limits that change are divided at once

A coordinator looked for a new configuration every 100 ms, and entry processes, which get it at the same time, refused requests of a new account as not run meanwhile. Coordinators now report when the configuration changes, and a question for an account without a share is repeated within its 150 ms. The loopback test lowers a limit of 60 a second to 5: 8 requests were admitted in 2 s, counted from 2.5 s after the acknowledgement.

--- a/crates/coordinator/src/quota.rs
+++ b/crates/coordinator/src/quota.rs
@@ -209,6 +209,7 @@
             return std::future::pending().await;
         };
         let mut leads = self.handle.subscribe();
+        let mut index = self.shared.subscribe();
         loop {
             let led_term = quota.state().led_from.map(|(term, _)| term);
             let has_begun = |status: &sync::Arc<status::Status>| {
@@ -221,15 +222,23 @@
             tokio::select! {
                 // An error means that the replica has stopped, after which the process ends.
                 Ok(led_from) = led_from => quota.state().led_from = Some(led_from),
-                () = tokio::time::sleep(TICK) => {
-                    self.refresh_limits(quota, &mut quota.state());
-                    self.report(quota).await;
-                    self.log_lease(quota);
+                // New limits are divided at once: entry processes learn of them at the same time.
+                Ok(()) = index.changed() => {
+                    if self.version() != quota.state().version {
+                        self.exchange_shares(quota).await;
+                    }
                 }
+                () = tokio::time::sleep(TICK) => self.exchange_shares(quota).await,
             }
         }
     }
 
+    async fn exchange_shares(&self, quota: &Quota) {
+        self.refresh_limits(quota, &mut quota.state());
+        self.report(quota).await;
+        self.log_lease(quota);
+    }
+
     /// Sends a report to the leader if one is due, and applies the reply.
     async fn report(&self, quota: &Quota) {
         let status = self.handle.status();
--- a/crates/coordinator/tests/quota.rs
+++ b/crates/coordinator/tests/quota.rs
@@ -115,6 +115,19 @@
     println!("{most} in the fullest window; {after} in the last 4.5 s");
     // A third of the limit is with the stopped coordinator until its lease has ended.
     assert!(after >= 0.5 * rate * 4.5, "{after} in the last 4.5 s");
+    group.configure_padded(2, 3, "limit=5").await;
+    tokio::time::sleep(time::Duration::from_millis(2_500)).await;
+    let end = clock.now() + clock::Millis(2_000);
+    let mut count = 0;
+    while clock.now() < end {
+        for gate in &gates {
+            let verdict = gate.acquire(&account, TIME_LEFT).await;
+            count += u32::from(verdict == gate::Verdict::Granted);
+        }
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    println!("{count} in 2 s under the lowered limit");
+    assert!(count <= 5 * 2 + 5 + 12, "{count} under the lowered limit");
 }
 
 /// Guards against requests that wait for coordinators which do not answer, and against calls for
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -27,6 +27,8 @@
 const CLIENT_TIMEOUT_MS: clock::Millis = clock::Millis(1_000);
 /// Time after which no further coordinator is asked.
 const QUESTION_MAX_MS: clock::Millis = clock::Millis(150);
+/// Time after which coordinators that have no share of an account are asked again.
+const UNKNOWN_RETRY: time::Duration = time::Duration::from_millis(40);
 /// Time after which returned tokens are sent although no request waits.
 const RETURN_DELAY: time::Duration = time::Duration::from_millis(250);
 /// Maximum number of log lines per second.
@@ -236,9 +238,19 @@
         while !question.asks.is_empty() {
             let asked_at = self.clock.now();
             let is_late = asked_at.since(started) > QUESTION_MAX_MS;
-            let target = self.next_target(asked_at, &targets, &tried, &question);
-            let Some(target) = target.filter(|_| !is_late) else {
+            if is_late {
                 break;
+            }
+            let Some(target) = self.next_target(asked_at, &targets, &tried, &question) else {
+                let is_unknown = question.asks.iter().any(|ask| !ask.is_elsewhere);
+                if !is_answered || !is_unknown {
+                    break;
+                }
+                // Coordinators get their shares of a new account at about this time.
+                tokio::time::sleep(UNKNOWN_RETRY).await;
+                tried.clear();
+                self.state().holder.repeat(&mut question);
+                continue;
             };
             tried.push(target);
             metrics::increment(&self.counters.calls);
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -282,6 +282,12 @@
         })
     }
 
+    /// Renumbers a question, so that coordinators which have answered it can be asked again.
+    pub fn repeat(&mut self, req: &mut TakeRequest) {
+        self.last_number += 1;
+        req.number = self.last_number;
+    }
+
     /// Uses the answer to a question that was sent at `asked_at`, removes the accounts that it
     /// settles from the question, and returns the decisions that follow. What is left is to be asked
     /// of another coordinator, which may have a share.
