--- a/crates/coordinator/src/rollouts.rs
+++ b/crates/coordinator/src/rollouts.rs
@@ -332,6 +332,7 @@
         let entries = self.soft_state().entries.ready(now);
         let mut guard = self.rollouts.soft();
         let soft = &mut *guard;
+        soft.reports.expire(now);
         soft.progress
             .retain(|service, _| running.iter().any(|running| running.service == *service));
         let decide = |running: crate::machine::RunningRollout| {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -292,6 +292,9 @@
     /// Stops canary requests if this process has seen enough on its own; returns the finding when
     /// it does.
     fn judge(&self, evidence: &evidence::Evidence) -> Option<test::Finding> {
+        if self.rollout.stage != plan::Stage::Canary {
+            return None;
+        }
         let test = &self.progress.test;
         let mut test = test.lock().unwrap_or_else(sync::PoisonError::into_inner);
         test.step(evidence);
@@ -509,6 +512,7 @@
 /// aborted.
 pub(crate) async fn report(shared: sync::Arc<state::Shared>) {
     let mut interval_number = 0;
+    let mut logged = collections::BTreeMap::new();
     loop {
         tokio::time::sleep(time::Duration::from_millis(REPORT_MS)).await;
         let table = shared.table.load_full();
@@ -516,6 +520,7 @@
         let divisions = services.filter_map(|service| service.rollout.as_ref());
         let divisions: Vec<_> = divisions.collect();
         interval_number += 1;
+        log_stages(&shared, &mut logged, &divisions);
         let is_promoting =
             |division: &&sync::Arc<Division>| division.rollout.stage == plan::Stage::Promoting;
         let is_due =
@@ -534,6 +539,32 @@
     }
 }
 
+/// Logs the stages that this process divides by, and the ends of rollouts.
+fn log_stages(
+    shared: &state::Shared,
+    logged: &mut collections::BTreeMap<String, rollout::Rollout>,
+    divisions: &[&sync::Arc<Division>],
+) {
+    let ended = |service: &String| !divisions.iter().any(|known| known.service == *service);
+    for (service, rollout) in logged.iter().filter(|(service, _)| ended(service)) {
+        slog::info!(shared.log, "rollout ended"; "service" => service,
+            "target" => &rollout.target, "order" => rollout.order);
+    }
+    logged.retain(|service, _| !ended(service));
+    for division in divisions {
+        let rollout = &division.rollout;
+        let known = logged.insert(division.service.clone(), rollout.clone());
+        let is_same =
+            |known: &rollout::Rollout| known.order == rollout.order && known.stage == rollout.stage;
+        if !known.is_some_and(|known| is_same(&known)) {
+            slog::info!(shared.log, "rollout stage taken up"; "service" => &division.service,
+                "target" => &rollout.target, "order" => rollout.order,
+                "stage" => ?rollout.stage,
+                "confirmation_age_ms" => shared.confirmation_age().0);
+        }
+    }
+}
+
 fn log_own_stop(shared: &state::Shared, division: &Division, finding: &test::Finding) {
     slog::info!(shared.log, "canary requests stopped on own evidence";
         "service" => &division.service, "target" => &division.rollout.target,
