dispatch, gateway: send the surplus of a zone to other zones, off by default

Cause: link penalties decide for each request by itself; nothing computes how much of a zone's demand its servers cannot take, or limits how many leave at once.

Change: dispatch::locality derives the share that should leave from the load of the zone's servers and of the others, moves to it with a time constant of 1 s, and directs that share to other zones. Features::locality enables it; the platform leaves it off. The request's line and two metrics tell what left the zone and why.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,7 +5,7 @@
 //! it, [`health`] ejects failing servers, [`availability`] keeps away from servers that ask for it,
 //! [`cold`] paces requests to servers that warm up, [`placement`] predicts the latency of each
 //! candidate server and ranks them, [`estimate`] learns the cost of a route's requests from
-//! responses, [`hedge`] decides when a hedged request is due, [`budget`] limits retries and hedges,
+//! responses, [`hedge`] decides when a hedged request is due, [`locality`] how many requests leave the zone, [`budget`] limits retries and hedges,
 //! [`split`] divides a route's requests among services, [`pressure`] measures how short of capacity a
 //! service is, [`precedence`] keeps slots free for urgent requests, [`return_time`] tells
 //! refused callers when to return, [`shedding`] tells a service that rejects a part of its requests
@@ -18,6 +18,7 @@
 pub mod estimate;
 pub mod health;
 pub mod hedge;
+pub mod locality;
 pub mod placement;
 pub mod precedence;
 pub mod pressure;
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/service/overload.rs
@@ -1,11 +1,9 @@
 //! Replays of rushes at a service with requests of several priorities, against two baselines:
 //! priorities ignored, and strict priority.
 
-mod service;
-
+use crate::replay::{Count, Kind, Leaving, Load, Policy, Replay};
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{precedence, return_time, shedding};
-use service::{Count, Kind, Load, Policy, Replay};
 
 const URGENT: Kind = Kind {
     priority: 0,
@@ -13,6 +11,7 @@
     target_ms: 150,
     deadline_ms: 1_500,
     per_s: 21.0,
+    kb: 1.5,
     rush: 1.0,
 };
 const MIDDLE: Kind = Kind {
@@ -21,6 +20,7 @@
     target_ms: 300,
     deadline_ms: 3_000,
     per_s: 20.0,
+    kb: 1.5,
     rush: 1.0,
 };
 const PATIENT: Kind = Kind {
@@ -29,6 +29,7 @@
     target_ms: 1_200,
     deadline_ms: 6_000,
     per_s: 28.0,
+    kb: 1.5,
     rush: 1.0,
 };
 
@@ -38,7 +39,11 @@
     Load {
         seed,
         kinds: kinds.into_iter().zip(rushes).map(with_rush).collect(),
-        servers: 15,
+        zones: vec![15],
+        swing: 0.0,
+        leaving: Leaving::Today,
+        zone_out: None,
+        end_ms: 7_000,
         processes: 20,
         slow_servers: 0,
         shed_share: 0.0,
--- a/crates/dispatch/tests/service/mod.rs
+++ b/crates/dispatch/tests/service/replay.rs
@@ -3,7 +3,7 @@
 
 use nutmegdale_base::rng::Rng;
 use nutmegdale_base::{clock, rng};
-use nutmegdale_dispatch::{admission, budget, health, placement, precedence, pressure};
+use nutmegdale_dispatch::{admission, budget, health, locality, placement, precedence, pressure};
 use nutmegdale_dispatch::{return_time, shedding, signal};
 use std::collections;
 
@@ -14,19 +14,36 @@
 /// Time from a decision to the arrival at the server, in which other processes decide too.
 const SEND_MS: u64 = 3;
 
-const LINKS: placement::Links = {
-    let link = placement::Link {
-        rtt_ms: 1.0,
-        penalty_share: 0.0,
-        penalty_share_per_kb: 0.0,
-    };
-    placement::Links {
-        zone: link,
-        region: link,
-        cross_region: link,
-    }
+/// Links of the gateway's settings.
+const LINKS: placement::Links = placement::Links {
+    zone: link(0.5, 0.0, 0.0),
+    region: link(3.0, 0.05, 0.02),
+    cross_region: link(17.0, 0.1, 0.03),
 };
 
+const fn link(rtt_ms: f64, penalty_share: f64, penalty_share_per_kb: f64) -> placement::Link {
+    placement::Link {
+        rtt_ms,
+        penalty_share,
+        penalty_share_per_kb,
+    }
+}
+
+/// How requests choose between their zone and others.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Leaving {
+    /// By the link penalties of today's placement alone.
+    Today,
+    /// Never.
+    Never,
+    /// To the least loaded server, without penalties.
+    Everywhere,
+    /// While the pressure of the zone is above a fixed threshold.
+    Threshold,
+    /// The decision under test.
+    Balanced,
+}
+
 /// Kind of request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Kind {
@@ -35,6 +52,8 @@
     pub(crate) target_ms: u64,
     pub(crate) deadline_ms: u64,
     pub(crate) per_s: f64,
+    /// Kilobytes of a request and its response.
+    pub(crate) kb: f64,
     /// Factor on the rate in the rush.
     pub(crate) rush: f64,
 }
@@ -54,8 +73,16 @@
 pub(crate) struct Load {
     pub(crate) seed: u64,
     pub(crate) kinds: Vec<Kind>,
-    pub(crate) servers: usize,
+    /// Servers of each zone. Two zones each form a region.
+    pub(crate) zones: Vec<usize>,
+    /// Part by which the demand of a zone rises and falls with a period of 17 s.
+    pub(crate) swing: f64,
+    pub(crate) leaving: Leaving,
+    /// Zone whose servers take no requests in the rush.
+    pub(crate) zone_out: Option<usize>,
     pub(crate) processes: usize,
+    /// Time after which no new callers come.
+    pub(crate) end_ms: u64,
     /// Servers that are five times slower.
     pub(crate) slow_servers: usize,
     /// Share of arrivals that each server rejects in the rush although it has free slots.
@@ -68,6 +95,16 @@
     pub(crate) served: usize,
     pub(crate) in_target: usize,
     pub(crate) refusals: usize,
+    /// Sum of the latencies of all that were served.
+    pub(crate) latency_ms: u64,
+    /// Requests sent to another zone of the region, and to another region.
+    pub(crate) left: [usize; 2],
+}
+
+impl Load {
+    fn servers(&self) -> usize {
+        self.zones.iter().sum()
+    }
 }
 
 impl Count {
@@ -108,11 +145,18 @@
     /// Events by time: callers that arrive, and requests that reach a server.
     arriving: collections::BTreeMap<u64, Vec<Request>>,
     sent: collections::VecDeque<(u64, usize, Request)>,
-    counts: Vec<Count>,
+    pub(crate) counts: Vec<Count>,
     schedules: Vec<return_time::Schedule>,
     budgets: Vec<budget::Budget>,
     shedding: Vec<shedding::Shedding>,
     health: Vec<Vec<health::Health>>,
+    balances: Vec<locality::Balance>,
+    /// Zone of each server.
+    zone_of: Vec<usize>,
+    /// Share of the requests of each process that should leave, over time, to find oscillations.
+    pub(crate) shares: Vec<(u64, f64)>,
+    /// Load of each process's zone and of the others in its last pass.
+    views: Vec<locality::View>,
     streaks: Vec<Vec<shedding::Streak>>,
 }
 
@@ -123,18 +167,21 @@
 };
 
 const RUSH: std::ops::Range<u64> = 2_000..6_000;
-const END_MS: u64 = 7_000;
 
 impl<'a> Replay<'a> {
     pub(crate) fn run(load: &'a Load, policy: Policy) -> Vec<Count> {
+        Replay::run_whole(load, policy).counts
+    }
+
+    pub(crate) fn run_whole(load: &'a Load, policy: Policy) -> Replay<'a> {
         let mut replay = Replay {
             load,
             policy,
             rng: rng::SplitMix64::new(load.seed),
-            servers: (0..load.servers).map(|_| Server::default()).collect(),
+            servers: (0..load.servers()).map(|_| Server::default()).collect(),
             signals: of_servers(load),
             levels: precedence::Levels::new(load.kinds.iter().map(|kind| kind.priority)),
-            positions: (0..load.servers)
+            positions: (0..load.servers())
                 .map(|n| precedence::position(&format!("server-{n}")))
                 .collect(),
             arriving: collections::BTreeMap::new(),
@@ -146,18 +193,49 @@
                 .collect(),
             shedding: (0..load.processes).map(|_| Default::default()).collect(),
             health: of_servers(load),
+            balances: (0..load.processes).map(|_| Default::default()).collect(),
+            zone_of: load
+                .zones
+                .iter()
+                .enumerate()
+                .flat_map(|(zone, n)| std::iter::repeat_n(zone, *n))
+                .collect(),
+            shares: Vec::new(),
+            views: vec![locality::View::default(); load.processes],
             streaks: of_servers(load),
         };
-        for ms in 0..END_MS + 7_000 {
+        for ms in 0..load.end_ms + 7_000 {
             replay.step(ms);
         }
-        replay.counts
+        replay
     }
 
     fn below(&mut self, share: f64) -> bool {
         (self.rng.below(1_000_000) as f64) < share * 1_000_000.0
     }
 
+    /// Returns the process that a caller reaches.
+    fn entry(&mut self, ms: u64) -> usize {
+        let zones = self.load.zones.len();
+        loop {
+            let process = self.rng.below(self.load.processes as u64) as usize;
+            let phase = ms as f64 / 17_000.0 + (process % zones) as f64 / zones as f64;
+            let swing = self.load.swing * (phase * std::f64::consts::TAU).sin();
+            if self.below((1.0 + swing) / (1.0 + self.load.swing)) {
+                return process;
+            }
+        }
+    }
+
+    fn distance(&self, process: usize, server: usize) -> placement::Distance {
+        let (own, zone) = (process % self.load.zones.len(), self.zone_of[server]);
+        match () {
+            () if own == zone => placement::Distance::Zone,
+            () if own / 2 == zone / 2 => placement::Distance::Region,
+            () => placement::Distance::CrossRegion,
+        }
+    }
+
     fn step(&mut self, ms: u64) {
         if ms.is_multiple_of(500) {
             for n in 0..self.servers.len() {
@@ -176,7 +254,7 @@
         for kind in 0..self.load.kinds.len() {
             let Kind { per_s, rush, .. } = self.load.kinds[kind];
             let rate = per_s * if RUSH.contains(&ms) { rush } else { 1.0 };
-            if ms < END_MS && self.below(rate / 1_000.0) {
+            if ms < self.load.end_ms && self.below(rate / 1_000.0) {
                 self.counts[kind].callers += 1;
                 let request = Request {
                     kind,
@@ -189,7 +267,7 @@
             }
         }
         for mut request in self.arriving.remove(&ms).unwrap_or_default() {
-            request.process = self.rng.below(self.load.processes as u64) as usize;
+            request.process = self.entry(ms);
             request.attempts = 0;
             let now = clock::Millis(ms);
             self.budgets[request.process].deposit(now, &RETRIES, self.load.processes);
@@ -209,10 +287,10 @@
             request.left_ms -= step;
         }
         let (load, signals, counts) = (self.load, &self.signals, &mut self.counts);
-        let (health, streaks) = (&self.health, &self.streaks);
+        let (health, streaks, zone_of) = (&self.health, &self.streaks, &self.zone_of);
         server.running.retain(|request| {
             let kind = &load.kinds[request.kind];
-            let took = ms - request.started;
+            let took = ms - request.started + link_ms(load, zone_of[n], request.process);
             let is_over = request.left_ms <= 0.0 || took >= kind.deadline_ms;
             if is_over {
                 signals[request.process][n].end();
@@ -221,6 +299,7 @@
                 health[request.process][n].record_success();
                 streaks[request.process][n].end();
                 counts[request.kind].served += 1;
+                counts[request.kind].latency_ms += took;
                 counts[request.kind].in_target += usize::from(took <= kind.target_ms);
             }
             !is_over
@@ -294,7 +373,7 @@
         let waited = ms - request.started;
         let profile = placement::RequestProfile {
             service_time_ms: kind.work_ms,
-            transfer_kb: 1.5,
+            transfer_kb: kind.kb,
             saturation_factor: SATURATION_FACTOR,
             target_ms: kind.target_ms as f64,
         };
@@ -306,14 +385,30 @@
             to_deadline: clock::Millis(kind.deadline_ms.saturating_sub(waited)),
         };
         let standing = self.levels.standing(kind.priority);
-        let mut allowance = Some(precedence::Allowance::ALL);
+        let view = self.views[request.process];
+        let mut pass = Pass {
+            allowance: Some(precedence::Allowance::ALL),
+            side: locality::Side::Any,
+            zone_pressure: view.zone.pressure(),
+        };
+        if self.load.leaving == Leaving::Balanced {
+            let balance = &self.balances[request.process];
+            balance.record(view);
+            pass.side = balance.next(now, &locality::Bound::default());
+            if request.process == 0 {
+                self.shares.push((ms, balance.share()));
+            }
+        }
         let mut best = None;
         for count in [3, 5, 8] {
-            let probe = placement::Purpose::Probe(count);
-            let (ranked, sample) = self.rank(now, request.process, profile, probe, allowance);
+            let purpose = match count {
+                3 => placement::Purpose::ProbeNear(count),
+                _ => placement::Purpose::Probe(count),
+            };
+            let (ranked, sample) = self.rank(now, request.process, profile, purpose, pass);
             if let Some(standing) = standing {
                 let pressure = sample.pressure();
-                allowance = self.allowance(standing, pressure, is_returning);
+                pass.allowance = self.allowance(standing, pressure, is_returning);
             }
             for (n, prediction) in ranked {
                 let is_fresh = prediction.age.is_some_and(|age| age <= placement::FRESH_MS);
@@ -323,7 +418,7 @@
                 }
             }
             let send = placement::Purpose::Send;
-            let (ranked, _) = self.rank(now, request.process, profile, send, allowance);
+            let (ranked, _) = self.rank(now, request.process, profile, send, pass);
             best = ranked.first().copied();
             if best.is_some_and(|(_, best)| best.has_room && best.slowdown_percent < 180.0) {
                 break;
@@ -331,7 +426,7 @@
         }
         let (n, best) = best.expect("there are servers");
         let decision = admission::decide(&best, profile, time, false, &mut self.rng);
-        let is_barred = !allows(allowance, self.positions[n], &best);
+        let is_barred = !allows(pass.allowance, self.positions[n], &best);
         match decision {
             admission::Decision::Refuse { retry_after } if self.policy != Policy::Scheduled => {
                 self.refuse(ms, request, retry_after.0);
@@ -340,6 +435,11 @@
             _ if is_barred => self.schedule(ms, request, best.response_ms),
             _ => {
                 self.signals[request.process][n].begin();
+                match self.distance(request.process, n) {
+                    placement::Distance::Zone => {}
+                    placement::Distance::Region => self.counts[request.kind].left[0] += 1,
+                    placement::Distance::CrossRegion => self.counts[request.kind].left[1] += 1,
+                }
                 self.sent.push_back((ms + SEND_MS, n, request));
             }
         }
@@ -354,7 +454,7 @@
         let retry_after = match standing {
             Some(standing) if self.policy == Policy::Scheduled => {
                 let share = return_time::Share {
-                    slots: (self.load.servers * SLOTS_COUNT) as u32,
+                    slots: (self.load.servers() * SLOTS_COUNT) as u32,
                     processes: self.load.processes,
                     service_time_ms: kind.work_ms,
                 };
@@ -388,14 +488,15 @@
         process: usize,
         profile: placement::RequestProfile,
         purpose: placement::Purpose,
-        allowance: Option<precedence::Allowance>,
+        pass: Pass,
     ) -> (Vec<(usize, placement::Prediction)>, pressure::Sample) {
         let own = &self.signals[process];
         let health = &self.health[process];
-        let ejected = |n: &usize| !health[*n].is_eligible(now);
-        let mut considered: Vec<_> = (0..own.len()).filter(|n| !ejected(n)).collect();
+        let usable: Vec<_> = (0..own.len()).filter(|n| !self.is_out(now, *n)).collect();
+        let eligible = usable.iter().copied();
+        let mut considered: Vec<_> = eligible.filter(|n| health[*n].is_eligible(now)).collect();
         if considered.is_empty() {
-            considered = (0..own.len()).collect();
+            considered = usable;
         }
         let candidates: Vec<_> = considered
             .iter()
@@ -403,18 +504,27 @@
                 signal: &own[*n],
                 health: &health[*n],
                 slots: SLOTS_COUNT as u32,
-                distance: placement::Distance::Zone,
+                distance: self.distance(process, *n),
                 is_cold: false,
-                is_preferred: (*n + process) % self.load.servers < placement::PREFERRED_COUNT,
+                is_preferred: (*n + process) % self.load.servers() < placement::PREFERRED_COUNT,
             })
             .collect();
         let mut sample = pressure::Sample::default();
+        let mut view = locality::View::default();
         let positions = &self.positions;
         let adjust: placement::Adjust<'_> = &mut |n, prediction| {
             sample.add(prediction);
+            let is_in_zone = candidates[n].distance == placement::Distance::Zone;
+            view.add(is_in_zone, prediction);
+            let penalty_ms = LINKS.get(candidates[n].distance).penalty_ms(&profile);
             placement::Adjustment {
-                is_barred: !allows(allowance, positions[considered[n]], prediction),
-                extra_ms: 0.0,
+                is_barred: !allows(pass.allowance, positions[considered[n]], prediction),
+                extra_ms: match self.load.leaving {
+                    Leaving::Never if !is_in_zone => 1e6,
+                    Leaving::Threshold if !is_in_zone && pass.zone_pressure < 0.8 => 1e6,
+                    Leaving::Everywhere | Leaving::Threshold => -penalty_ms,
+                    _ => pass.side.extra_ms(is_in_zone, profile.target_ms),
+                },
             }
         };
         let rng = &mut self.rng;
@@ -425,12 +535,37 @@
         };
         let ranked = placement::rank_adjusted(now, &candidates, terms, adjust, rng);
         let ranked = ranked.into_iter().map(|(n, best)| (considered[n], best));
-        (ranked.collect(), sample)
+        let ranked = ranked.collect();
+        self.views[process] = view;
+        (ranked, sample)
+    }
+
+    fn is_out(&self, now: clock::Millis, server: usize) -> bool {
+        RUSH.contains(&now.0) && self.load.zone_out == Some(self.zone_of[server])
+    }
+}
+
+/// What the passes over the candidates of one request have in common.
+#[derive(Clone, Copy)]
+struct Pass {
+    /// `None` if the request may be sent nowhere.
+    allowance: Option<precedence::Allowance>,
+    side: locality::Side,
+    zone_pressure: f64,
+}
+
+/// Returns the round-trip time between a process and a server of `zone`.
+fn link_ms(load: &Load, zone: usize, process: usize) -> u64 {
+    let own = process % load.zones.len();
+    match () {
+        () if own == zone => 0,
+        () if own / 2 == zone / 2 => 3,
+        () => 17,
     }
 }
 
 fn of_servers<T: Default>(load: &Load) -> Vec<Vec<T>> {
-    let servers = |_| (0..load.servers).map(|_| T::default()).collect();
+    let servers = |_| (0..load.servers()).map(|_| T::default()).collect();
     (0..load.processes).map(servers).collect()
 }
 
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,6 +1,6 @@
 //! Runtime state of one incarnation of a backend server.
 
-use crate::{pool, precedence as refusals};
+use crate::{pool, precedence as priorities};
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{availability, cold, health, placement, precedence, shedding, signal};
 use nutmegdale_registry::server;
@@ -66,8 +66,8 @@
     pub availability: availability::Availability,
     /// Servers that are leaving, which outlives this state.
     leaving: sync::Arc<availability::LeavingServers>,
-    /// Recent refusals at its service.
-    pub refusals: sync::Arc<refusals::Refusals>,
+    /// What this process remembers of the requests at its service.
+    pub history: sync::Arc<priorities::History>,
     /// Rejections in a row although it had free slots.
     pub streak: shedding::Streak,
     /// Rate limiter while the server is cold.
@@ -92,7 +92,7 @@
         region: String,
         distance: placement::Distance,
         leaving: sync::Arc<availability::LeavingServers>,
-        refusals: sync::Arc<refusals::Refusals>,
+        history: sync::Arc<priorities::History>,
     ) -> Backend {
         let availability = availability::Availability::default();
         if leaving.contains(&announcement.id, announcement.born) {
@@ -101,7 +101,7 @@
         Backend {
             availability,
             leaving,
-            refusals,
+            history,
             streak: shedding::Streak::default(),
             pool: pool::Pool::new(announcement.address),
             position: precedence::position(&announcement.id),
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -1,8 +1,8 @@
 //! Log of the decisions on requests: one line per request, with its attempts and their inputs.
 
-use crate::{backend, hedge_timer, picker};
+use crate::{backend, hedge_timer, picker, precedence};
 use nutmegdale_base::{class, clock, outcome};
-use nutmegdale_dispatch::{health, placement};
+use nutmegdale_dispatch::{health, locality, placement};
 use nutmegdale_telemetry::limiter;
 use std::fmt::Write;
 
@@ -48,6 +48,22 @@
         .expect("string can be written");
     }
 
+    /// Appends why the last attempt leaves the zone.
+    pub fn push_leaving(&mut self, leaving: &precedence::Leaving) {
+        let link = match leaving.distance {
+            placement::Distance::CrossRegion => "cross-region",
+            _ => "region",
+        };
+        match leaving.side {
+            locality::Side::Any => write!(self.text, " link={link} leaves=predicted"),
+            locality::Side::Others { pressure, share } => write!(
+                self.text,
+                " link={link} leaves=surplus zone-pressure={pressure:.2} share={share:.2}"
+            ),
+        }
+        .expect("string can be written");
+    }
+
     /// Appends a rejection and its inputs.
     pub fn push_rejection(&mut self, at: clock::Millis, rejection: &picker::Rejection) {
         let reason = rejection.reason.name();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -410,6 +410,10 @@
         }
         call.trace
             .push_attempt(call.elapsed(), picked.backend.id(), &picked.prediction);
+        if let Some(leaving) = &picked.leaving {
+            call.shared.metrics.count_leaving(leaving);
+            call.trace.push_leaving(leaving);
+        }
         self.tried.push(sync::Arc::clone(&picked.backend));
         self.attempts_count += 1;
         let attempt = attempt::Attempt {
@@ -481,7 +485,7 @@
             Some(left) => {
                 admission::retry_after_backoff(left, call.time_left(), &mut call.shared.rng())
             }
-            None if service.is_some_and(|service| service.refusals.shedding.is_active(now)) => {
+            None if service.is_some_and(|service| service.history.shedding.is_active(now)) => {
                 precedence::SHED_RETRY_MS.min(clock::Millis(call.time_left().0 / 3))
             }
             // About half of the requests that run on the server will have ended by then.
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -91,7 +91,7 @@
         match metadata.report {
             Some(_) if metadata.backoff.is_some() || metadata.is_leaving => {}
             Some(report) if report.running < report.slots => {
-                let shedding = &self.backend.refusals.shedding;
+                let shedding = &self.backend.history.shedding;
                 let (server, streak) = (self.backend.position, &self.backend.streak);
                 match shedding.record(self.now(), server, streak) {
                     true => self.record_failure(health::Failure::Answer),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a gateway.
 
+use crate::precedence;
 use nutmegdale_telemetry::metrics;
 use std::sync::atomic;
 
@@ -20,6 +21,10 @@
     pub refused_for_urgent: atomic::AtomicU64,
     /// Rejections by servers with free slots that do not count against their health.
     pub rejections_shed: atomic::AtomicU64,
+    /// Attempts that left the zone because it is short of room.
+    pub left_for_surplus: atomic::AtomicU64,
+    /// Attempts that left the zone because of their own prediction.
+    pub left_as_predicted: atomic::AtomicU64,
     /// Health checks that were started.
     pub probes: atomic::AtomicU64,
     /// Health checks that yielded no load report.
@@ -42,6 +47,14 @@
         Metrics::default()
     }
 
+    /// Counts an attempt that leaves the zone.
+    pub(crate) fn count_leaving(&self, leaving: &precedence::Leaving) {
+        increment(match leaving.is_surplus() {
+            true => &self.left_for_surplus,
+            false => &self.left_as_predicted,
+        });
+    }
+
     /// Returns the metrics in the Prometheus text format, followed by the gauges in `state`.
     pub fn text(&self, state: &[metrics::Sample]) -> String {
         let counter = |name, help, value: &atomic::AtomicU64| metrics::Sample {
@@ -77,6 +90,16 @@
                 "Rejections by servers with free slots while others reject some requests too.",
                 &self.rejections_shed,
             ),
+            counter(
+                "nutmegdale_left_zone_surplus_total",
+                "Sends to other zones because the zone is short of room.",
+                &self.left_for_surplus,
+            ),
+            counter(
+                "nutmegdale_left_zone_predicted_total",
+                "Sends to other zones because a server there is predicted to be better.",
+                &self.left_as_predicted,
+            ),
             counter("nutmegdale_probes_total", "Health checks.", &self.probes),
             counter(
                 "nutmegdale_probes_failed_total",
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -50,6 +50,8 @@
     pub prediction: placement::Prediction,
     /// Whether the request was admitted only to refresh an estimate that may be stale.
     pub is_trial: bool,
+    /// Why the request leaves the zone, if it does and that is decided.
+    pub leaving: Option<precedence::Leaving>,
 }
 
 /// Reason why no server was picked.
@@ -103,7 +105,7 @@
 ) -> Result<Picked, Rejection> {
     let service = &table.services[query.service_index];
     let mut ranking = Ranking::default();
-    let mut limits = precedence::Limits::new(service, query);
+    let mut limits = precedence::Limits::new(shared, service, query);
     for (round, probe_count) in PROBE_COUNTS.into_iter().enumerate() {
         let purpose = match round {
             0 => placement::Purpose::ProbeNear(probe_count),
@@ -218,6 +220,7 @@
         if is_allowed && backend.accepts(now) && backend.try_acquire(now) {
             backend.health.begin_trial(now);
             return Ok(Picked {
+                leaving: limits.leaving(&backend),
                 backend,
                 prediction,
                 is_trial,
@@ -295,7 +298,7 @@
     let adjust: placement::Adjust<'_> = &mut |n, best| limits.adjust(considered[n], best);
     let mut rng = shared.rng();
     let ranked = placement::rank_adjusted(now, &candidates, terms, adjust, &mut rng);
-    limits.end_pass();
+    limits.end_pass(service);
     let best = ranked.into_iter();
     let best = best.map(|(n, prediction)| (sync::Arc::clone(considered[n]), prediction));
     Ranking {
--- a/crates/gateway/src/precedence.rs
+++ b/crates/gateway/src/precedence.rs
@@ -1,11 +1,12 @@
-//! Applies the priorities of a service to the servers that one request may be sent to.
+//! Applies the priorities of a service, and the share of requests that leaves the zone, to the
+//! servers that one request may be sent to.
 //!
-//! The decision is in `nutmegdale_dispatch::precedence`. At a service whose requests all have the
+//! The decisions are in `nutmegdale_dispatch::precedence` and `nutmegdale_dispatch::locality`. At a service whose requests all have the
 //! same priority, a [`Limits`] costs nothing and limits nothing.
 
-use crate::{backend, picker, table};
+use crate::{backend, picker, state, table};
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{placement, precedence, pressure, return_time, shedding};
+use nutmegdale_dispatch::{locality, placement, precedence, pressure, return_time, shedding};
 use nutmegdale_registry::config;
 
 /// Returns the priorities of the requests that may reach a service: those of its routes, and those
@@ -20,13 +21,15 @@
     precedence::Levels::new(routes.chain(accounts.filter_map(|account| account.priority)))
 }
 
-/// What a process remembers of the refusals at one service; it is kept when the table is rebuilt.
+/// What a process remembers of the requests at one service; it is kept when the table is rebuilt.
 #[derive(Debug, Default)]
-pub struct Refusals {
+pub struct History {
     /// Times at which refused callers were told to return.
     pub schedule: return_time::Schedule,
     /// Rejections by servers with free slots.
     pub shedding: shedding::Shedding,
+    /// Share of the requests that should leave the zone.
+    pub balance: locality::Balance,
 }
 
 /// Time until a caller should return whose request was rejected by a server with free slots, in a
@@ -54,6 +57,10 @@
     is_returning: bool,
     allowance: precedence::Allowance,
     sample: pressure::Sample,
+    side: locality::Side,
+    /// Load by zone, where requests may be told to leave the zone.
+    view: Option<locality::View>,
+    target_ms: f64,
 }
 
 /// Refusal of a request because others at its service are more urgent.
@@ -65,14 +72,41 @@
     pub for_priority: u32,
 }
 
+/// Request that leaves the zone of its entry process.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Leaving {
+    /// Distance to its server.
+    pub distance: placement::Distance,
+    /// Where it should have gone.
+    pub side: locality::Side,
+}
+
+impl Leaving {
+    /// Returns whether it leaves because the zone is short of room, and not only because of its own
+    /// prediction.
+    pub fn is_surplus(&self) -> bool {
+        matches!(self.side, locality::Side::Others { .. })
+    }
+}
+
 impl Limits {
     /// Creates the limits of a request before the first pass.
-    pub(crate) fn new(service: &table::Service, query: &picker::Query<'_>) -> Limits {
+    pub(crate) fn new(
+        shared: &state::Shared,
+        service: &table::Service,
+        query: &picker::Query<'_>,
+    ) -> Limits {
+        let balance = &service.history.balance;
+        let bound = shared.settings.features.locality;
+        let side = bound.map(|bound| balance.next(shared.clock.now(), &bound));
         Limits {
             standing: service.levels.standing(query.priority),
             is_returning: query.is_returning,
             allowance: precedence::Allowance::ALL,
             sample: pressure::Sample::default(),
+            side: side.unwrap_or_default(),
+            view: bound.map(|_| locality::View::default()),
+            target_ms: query.profile.target_ms,
         }
     }
 
@@ -85,14 +119,21 @@
         if self.standing.is_some() {
             self.sample.add(prediction);
         }
+        let is_in_zone = backend.distance == placement::Distance::Zone;
+        if let Some(view) = &mut self.view {
+            view.add(is_in_zone, prediction);
+        }
         placement::Adjustment {
             is_barred: !self.allows(backend, prediction),
-            extra_ms: 0.0,
+            extra_ms: self.side.extra_ms(is_in_zone, self.target_ms),
         }
     }
 
     /// Ends a pass over the candidates, whose load decides about the next pass.
-    pub(crate) fn end_pass(&mut self) {
+    pub(crate) fn end_pass(&mut self, service: &table::Service) {
+        if let Some(view) = &mut self.view {
+            service.history.balance.record(std::mem::take(view));
+        }
         if let Some(standing) = self.standing {
             let pressure = self.sample.pressure();
             self.allowance = precedence::Allowance::new(standing, pressure, self.is_returning);
@@ -131,11 +172,21 @@
         };
         let free_ms = response_ms - share.service_time_ms;
         let left = query.time_left.to_deadline;
-        let schedule = &service.refusals.schedule;
+        let schedule = &service.history.schedule;
         let standing = self.standing?;
         Some(schedule.book(now, standing, share, free_ms, left))
     }
 
+    /// Returns why a request leaves the zone for `backend`, or `None` if it does not or nothing
+    /// decides about that.
+    pub(crate) fn leaving(&self, backend: &backend::Backend) -> Option<Leaving> {
+        let is_decided = self.view.is_some() && backend.distance != placement::Distance::Zone;
+        is_decided.then_some(Leaving {
+            distance: backend.distance,
+            side: self.side,
+        })
+    }
+
     /// Returns the grounds of a refusal under these limits.
     pub(crate) fn reserved(&self, service: &table::Service) -> Reserved {
         Reserved {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a gateway.
 
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{budget, cold, placement};
+use nutmegdale_dispatch::{budget, cold, locality, placement};
 use nutmegdale_quota::gate;
 use nutmegdale_registry::follow;
 use nutmegdale_rollout::bound;
@@ -34,6 +34,8 @@
     pub accounts: Option<Accounts>,
     /// Limits of client accounts over all processes.
     pub quotas: Option<gate::Bound>,
+    /// Sending the surplus of a zone to other zones.
+    pub locality: Option<locality::Bound>,
 }
 
 /// Bounds on the use of account keys.
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -52,8 +52,8 @@
     pub levels: sync::Arc<levels::Levels>,
     /// Slots of all its servers.
     pub slots_count: u32,
-    /// Recent refusals of its requests.
-    pub refusals: sync::Arc<precedence::Refusals>,
+    /// What this process remembers of its requests.
+    pub history: sync::Arc<precedence::History>,
 }
 
 /// Routes by host, in descending order of prefix length.
@@ -123,7 +123,7 @@
     routes: (u64, sync::Arc<Routes>),
     /// Priorities at each service, which are reused like the routes.
     levels: collections::HashMap<String, sync::Arc<levels::Levels>>,
-    refusals: collections::HashMap<String, sync::Arc<precedence::Refusals>>,
+    histories: collections::HashMap<String, sync::Arc<precedence::History>>,
     zones_out: collections::BTreeSet<String>,
 }
 
@@ -139,7 +139,7 @@
             splitters: collections::HashMap::new(),
             routes: (0, sync::Arc::default()),
             levels: collections::HashMap::new(),
-            refusals: collections::HashMap::new(),
+            histories: collections::HashMap::new(),
             zones_out: collections::BTreeSet::new(),
         }
     }
@@ -215,13 +215,13 @@
             .retain(|incarnation, _| is_registered(incarnation));
     }
 
-    fn refusals(&mut self, service_name: &str) -> sync::Arc<precedence::Refusals> {
-        let refusals = self.refusals.entry(service_name.to_owned());
-        sync::Arc::clone(refusals.or_default())
+    fn history(&mut self, service_name: &str) -> sync::Arc<precedence::History> {
+        let history = self.histories.entry(service_name.to_owned());
+        sync::Arc::clone(history.or_default())
     }
 
     fn new_backend(&mut self, announcement: &server::Announcement) -> backend::Backend {
-        let refusals = self.refusals(&announcement.service);
+        let history = self.history(&announcement.service);
         let regions = &self.settings.regions;
         let region = regions.get(&announcement.zone).cloned().unwrap_or_default();
         let own_entry = &self.settings.entry;
@@ -233,7 +233,7 @@
             placement::Distance::CrossRegion
         };
         let leaving = sync::Arc::clone(&self.leaving);
-        backend::Backend::new(announcement.clone(), region, distance, leaving, refusals)
+        backend::Backend::new(announcement.clone(), region, distance, leaving, history)
     }
 
     /// Marks the servers of zones that return to service as cold, since they may have cooled down
@@ -262,7 +262,7 @@
         spec: &config::Service,
         processes: &Processes<'_>,
     ) -> Service {
-        let refusals = self.refusals(&spec.name);
+        let history = self.history(&spec.name);
         let own_node = entry_node(&self.settings.entry);
         let bounds = &self.settings.bounds;
         let senders_count = bounds.cold_rate.senders_count(spec.cold_requests_per_s);
@@ -297,7 +297,7 @@
             backends,
             budget: sync::Arc::clone(budget),
             levels: self.levels.get(&spec.name).cloned().unwrap_or_default(),
-            refusals,
+            history,
         }
     }
 
