--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -9,7 +9,7 @@
 use hyper::header;
 use hyper_util::rt;
 use nutmegdale_base::{class, clock};
-use nutmegdale_dispatch::{budget, cold, estimate, health};
+use nutmegdale_dispatch::{budget, cold, estimate, health, signal};
 use nutmegdale_gateway::{buffer, dialect, pool, proxy, settings, state, table};
 use nutmegdale_registry::{config, follow, server as registry};
 use nutmegdale_rpc::listen;
@@ -312,6 +312,32 @@
         self.configure();
     }
 
+    /// Adds a less urgent route to the same service, to which requests for "/patient/" go.
+    pub(crate) fn add_patient_route(&mut self) {
+        let mut route = self.config.routes[0].clone();
+        route.name = "patient".to_owned();
+        route.prefix = "/patient/".to_owned();
+        route.priority = self.config.routes[0].priority + 1;
+        self.config.routes.push(route);
+        self.config.version += 1;
+        self.copy.version += 1;
+        self.configure();
+    }
+
+    /// Makes every server look as if it ran `running` requests of other processes.
+    pub(crate) fn report_load(&self, running: u32) {
+        let report = signal::Report {
+            running,
+            waiting: 0,
+            slots: 4,
+            slowdown_percent: 100,
+        };
+        for backend in self.shared.table.load().backends() {
+            let now = self.shared.clock.now();
+            backend.signal.record_report(now, report, 0);
+        }
+    }
+
     /// Sends a request and reads the response, which must be complete.
     pub(crate) async fn send(&self, id: &str) -> CallerResponse {
         self.try_send(id).await.expect("a complete response")
