gateway, dispatch: health checks open connections within a budget

Half a new connection was opened for each request. These look for a free server among all, since an unknown server looks better than a known occupied one, and come back to each after its idle timeout; servers with long queues reset them.

Health checks now use kept connections and open new ones within a budget: 0.14 for each request, one in 5 s, 24 saved. A server that does not serve a new connection gets none for 1 to 4 s; requests go there only if no other server can be reached. Connections opened are counted by reason and cause.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate does no I/O and reads no clock. State that the threads of an entry process share is
 //! held in atomics or behind short locks. [`signal`] holds the load signal of one server and ages
 //! it, [`health`] ejects failing servers, [`availability`] keeps away from servers that ask for it,
+//! [`connects`] limits the connections that health checks open,
 //! [`cold`] paces requests to servers that warm up, [`placement`] predicts the latency of each
 //! candidate server and ranks them, [`estimate`] learns the cost of a route's requests from
 //! responses, [`hedge`] decides when a hedged request is due, [`budget`] limits retries and hedges,
@@ -13,6 +14,7 @@
 pub mod availability;
 pub mod budget;
 pub mod cold;
+pub mod connects;
 pub mod estimate;
 pub mod health;
 pub mod hedge;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,9 @@
 //! server states that it did not run it; a response is forwarded only if it belongs to this request
 //! and, up to the buffering limit, only once it is complete.
 
-use crate::{backend, call, in_flight, interim, metrics, payload, pool, server_traffic, state};
+use crate::{
+    backend, call, in_flight, interim, metrics, opened, payload, pool, server_traffic, state,
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{body, header};
@@ -107,6 +109,11 @@
         }
         Err(_) => return AttemptResult::NotRun(outcome::Reason::Deadline, false),
     };
+    let reason = match attempt.is_one_time {
+        true => opened::Reason::OneTimeRequest,
+        false => opened::Reason::Request,
+    };
+    shared.count_opened(reason, &connection);
     let time_left = attempt.deadline.since(in_flight.now());
     if time_left == clock::Millis::ZERO {
         return AttemptResult::NotRun(outcome::Reason::Deadline, false);
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -2,7 +2,7 @@
 
 use crate::pool;
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{availability, cold, health, placement, signal};
+use nutmegdale_dispatch::{availability, cold, connects, health, placement, signal};
 use nutmegdale_registry::server;
 use std::sync;
 use std::sync::atomic;
@@ -68,6 +68,8 @@
     pub pacer: cold::Pacer,
     /// Connection pool.
     pub pool: pool::Pool,
+    /// Pause in new connections for health checks.
+    pub connect_hold: connects::Hold,
     /// Health check, shared by concurrent requests.
     pub probe: SharedProbe,
     is_open: atomic::AtomicBool,
@@ -101,6 +103,7 @@
             signal: signal::Signal::default(),
             health: health::Health::default(),
             pacer: cold::Pacer::default(),
+            connect_hold: connects::Hold::default(),
             probe: SharedProbe::default(),
             is_open: atomic::AtomicBool::new(false),
             is_warmup_sender: atomic::AtomicBool::new(false),
--- a/crates/gateway/src/hedge_timer.rs
+++ b/crates/gateway/src/hedge_timer.rs
@@ -94,7 +94,7 @@
     /// checks is reached.
     fn start_probe(&mut self, shared: &sync::Arc<state::Shared>) {
         self.probed_at = shared.clock.now();
-        let probe_task = probe::refresh(shared, &self.backend, &self.health_path);
+        let probe_task = probe::refresh_within_budget(shared, &self.backend, &self.health_path);
         self.probe_task = Some(probe_task.into());
     }
 
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -103,12 +103,14 @@
         self.is_settled = true;
         if !is_reused {
             self.backend.signal.record_full(self.now());
+            self.backend.connect_hold.record_unserved(self.now());
         }
     }
 
     /// Records a complete response of the server.
     pub(crate) fn record_response(&mut self, status: hyper::StatusCode) {
         self.is_settled = true;
+        self.backend.connect_hold.record_served();
         if status.is_server_error() {
             self.record_failure(health::Failure::Answer);
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod in_flight;
 mod interim;
 pub mod metrics;
+pub mod opened;
 pub mod payload;
 pub mod picker;
 mod pipelined;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     pub probes_failed: atomic::AtomicU64,
     /// Failed health checks on a new connection that a full server did not serve.
     pub probes_unserved: atomic::AtomicU64,
+    /// Health checks that were left out since they needed a connection that may not be opened.
+    pub probes_unconnected: atomic::AtomicU64,
     /// Ejections of a server.
     pub ejections: atomic::AtomicU64,
     /// Servers whose responses stated that they are leaving.
@@ -78,6 +80,11 @@
                 "Health checks on a new connection that a full server did not serve.",
                 &self.probes_unserved,
             ),
+            counter(
+                "nutmegdale_probes_unconnected_total",
+                "Health checks left out that needed a connection beyond the budget.",
+                &self.probes_unconnected,
+            ),
             counter(
                 "nutmegdale_ejections_total",
                 "Times that a server was taken out of the choice.",
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -257,6 +257,7 @@
     } else {
         eligible
     };
+    let considered = reachable(shared, considered, purpose, now);
     let candidates: Vec<_> = considered.iter().map(|b| b.candidate(now)).collect();
     let links = &crate::settings::LINKS;
     let ranked = placement::rank(
@@ -275,6 +276,29 @@
     }
 }
 
+/// Leaves out the servers to which no connection may be opened now. For a send, they are left out only
+/// while there are others.
+fn reachable<'a>(
+    shared: &state::Shared,
+    considered: Vec<&'a sync::Arc<backend::Backend>>,
+    purpose: placement::Purpose,
+    now: clock::Millis,
+) -> Vec<&'a sync::Arc<backend::Backend>> {
+    let is_reachable = |backend: &backend::Backend| match purpose {
+        placement::Purpose::Send => backend.pool.has_kept(now) || backend.connect_hold.allows(now),
+        _ => probe::is_within_budget(shared, backend, now),
+    };
+    let reachable: Vec<_> = considered
+        .iter()
+        .copied()
+        .filter(|backend| is_reachable(backend))
+        .collect();
+    match purpose {
+        placement::Purpose::Send if reachable.is_empty() => considered,
+        _ => reachable,
+    }
+}
+
 /// Starts health checks of those servers that have no fresh report.
 fn start_probes(
     shared: &sync::Arc<state::Shared>,
@@ -284,6 +308,6 @@
     let path = &service.spec.health_path;
     let probes = candidates
         .iter()
-        .filter_map(|(backend, _)| probe::refresh(shared, backend, path));
+        .filter_map(|(backend, _)| probe::refresh_within_budget(shared, backend, path));
     probes.collect()
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -4,6 +4,7 @@
 //! server may close or silently drop an idle connection, so a connection is reused only while its
 //! idle time is well below the server's idle timeout.
 
+use crate::opened;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use nutmegdale_base::clock;
@@ -47,6 +48,8 @@
     pub sender: Sender,
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
+    /// Why it was opened.
+    pub cause: opened::Cause,
     generation: u64,
     _permit: OpenPermit,
 }
@@ -75,6 +78,8 @@
     address: net::SocketAddr,
     idle: sync::Mutex<Vec<Idle>>,
     idle_timeout_ms: atomic::AtomicU64,
+    /// Time until which a kept connection can be reused, in milliseconds; 0 without one.
+    kept_until_ms: atomic::AtomicU64,
     /// Generation of new connections; those of earlier generations are not reused.
     generation: atomic::AtomicU64,
     open_count: sync::Arc<atomic::AtomicU32>,
@@ -88,6 +93,7 @@
             address,
             idle: sync::Mutex::default(),
             idle_timeout_ms: atomic::AtomicU64::new(IDLE_TIMEOUT_DEFAULT_MS.0),
+            kept_until_ms: atomic::AtomicU64::new(0),
             generation: atomic::AtomicU64::new(0),
             open_count: sync::Arc::default(),
             open_max: atomic::AtomicU32::new(1),
@@ -105,6 +111,19 @@
         self.open_count.load(atomic::Ordering::Relaxed) > 0
     }
 
+    /// Returns whether a request or health check could use a kept connection.
+    pub fn has_kept(&self, now: clock::Millis) -> bool {
+        now.0 < self.kept_until_ms.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Updates what [`Pool::has_kept`] returns, which must not lock for each candidate.
+    fn update_kept(&self, idle: &[Idle]) {
+        let timeout_ms = self.idle_timeout_ms.load(atomic::Ordering::Relaxed);
+        let until_ms = idle.last().map_or(0, |last| last.idle_since.0 + timeout_ms);
+        self.kept_until_ms
+            .store(until_ms, atomic::Ordering::Relaxed);
+    }
+
     fn idle(&self) -> sync::MutexGuard<'_, Vec<Idle>> {
         self.idle
             .lock()
@@ -128,7 +147,19 @@
                 return Ok(connection);
             }
         }
-        self.connect().await
+        let cause = self.cause();
+        self.connect(cause).await
+    }
+
+    /// Returns why none of the open connections can be used now.
+    fn cause(&self) -> opened::Cause {
+        if !self.idle().is_empty() {
+            opened::Cause::Idle
+        } else if self.is_connected() {
+            opened::Cause::AllBusy
+        } else {
+            opened::Cause::NoneOpen
+        }
     }
 
     fn pop_idle(&self, now: clock::Millis, idle_max: clock::Millis) -> Option<Connection> {
@@ -141,11 +172,12 @@
             return None;
         }
         let mut connection = idle.pop()?.connection;
+        self.update_kept(&idle);
         connection.is_reused = true;
         Some(connection)
     }
 
-    async fn connect(&self) -> Result<Connection, Error> {
+    async fn connect(&self, cause: opened::Cause) -> Result<Connection, Error> {
         let permit = self.acquire_permit()?;
         let timeout = time::Duration::from_millis(CONNECT_TIMEOUT_MS.0);
         let connected = tokio::time::timeout(timeout, TcpStream::connect(self.address)).await;
@@ -166,6 +198,7 @@
         Ok(Connection {
             sender,
             is_reused: false,
+            cause,
             generation: self.generation.load(atomic::Ordering::Relaxed),
             _permit: permit,
         })
@@ -195,6 +228,7 @@
             return false;
         }
         drop(idle.remove(0));
+        self.update_kept(&idle);
         true
     }
 
@@ -221,21 +255,26 @@
                 connection,
                 idle_since: now,
             });
+            self.update_kept(&idle);
         }
     }
 
     /// Closes connections that have been idle for too long or that the server has closed.
     pub fn sweep(&self, now: clock::Millis) {
         let timeout = clock::Millis(self.idle_timeout_ms.load(atomic::Ordering::Relaxed));
-        self.idle().retain(|idle| {
+        let mut idle = self.idle();
+        idle.retain(|idle| {
             now.since(idle.idle_since) < timeout && !idle.connection.sender.is_closed()
         });
+        self.update_kept(&idle);
     }
 
     /// Closes all idle connections and prevents the reuse of those in use, for example after one
     /// of them timed out.
     pub fn invalidate(&self) {
         self.generation.fetch_add(1, atomic::Ordering::Relaxed);
-        self.idle().clear();
+        let mut idle = self.idle();
+        idle.clear();
+        self.update_kept(&idle);
     }
 }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -1,6 +1,6 @@
 //! Health checks right before a server is picked, since load reports are stale within milliseconds.
 
-use crate::{backend, interim, metrics, pool, server_traffic, state};
+use crate::{backend, interim, metrics, opened, pool, server_traffic, state};
 use http_body_util::BodyExt;
 use hyper::header;
 use nutmegdale_admission::bucket;
@@ -52,6 +52,42 @@
     shared: &sync::Arc<state::Shared>,
     backend: &sync::Arc<backend::Backend>,
     path: &str,
+) -> Option<task::JoinHandle<()>> {
+    refresh_if(shared, backend, path, |_| true)
+}
+
+/// Like [`refresh`], but opens a connection only within the budget.
+pub fn refresh_within_budget(
+    shared: &sync::Arc<state::Shared>,
+    backend: &sync::Arc<backend::Backend>,
+    path: &str,
+) -> Option<task::JoinHandle<()>> {
+    refresh_if(shared, backend, path, |now| {
+        let may_connect = || backend.connect_hold.allows(now) && shared.connect_budget.withdraw();
+        let is_allowed = backend.pool.has_kept(now) || may_connect();
+        if !is_allowed {
+            metrics::increment(&shared.metrics.probes_unconnected);
+        }
+        is_allowed
+    })
+}
+
+/// Returns whether [`refresh_within_budget`] may run a health check of a server.
+pub fn is_within_budget(
+    shared: &state::Shared,
+    backend: &backend::Backend,
+    now: clock::Millis,
+) -> bool {
+    backend.pool.has_kept(now)
+        || backend.probe.is_running()
+        || (backend.connect_hold.allows(now) && shared.connect_budget.has_token())
+}
+
+fn refresh_if(
+    shared: &sync::Arc<state::Shared>,
+    backend: &sync::Arc<backend::Backend>,
+    path: &str,
+    may_check: impl FnOnce(clock::Millis) -> bool,
 ) -> Option<task::JoinHandle<()>> {
     let now = shared.clock.now();
     if !backend.accepts(now) {
@@ -59,7 +95,8 @@
     }
     let last = backend.signal.last_report(now);
     let is_fresh = last.is_some_and(|last| last.age <= placement::FRESH_MS);
-    let may_probe = !is_fresh && (backend.probe.is_running() || acquire_token(shared, now));
+    let may_probe =
+        !is_fresh && (backend.probe.is_running() || (acquire_token(shared, now) && may_check(now)));
     may_probe.then(|| {
         let (shared, backend) = (sync::Arc::clone(shared), sync::Arc::clone(backend));
         tokio::spawn(probe(shared, backend, path.to_owned()))
@@ -77,7 +114,7 @@
     };
     metrics::increment(&shared.metrics.probes);
     let Err(err) = run_check(&shared, &backend, &path).await else {
-        return;
+        return backend.connect_hold.record_served();
     };
     metrics::increment(&shared.metrics.probes_failed);
     match err {
@@ -88,7 +125,10 @@
             shared.record_failure(&backend, failure, "health check");
         }
         // Without a report the server ranks behind those with a known load.
-        ProbeError::Unserved => metrics::increment(&shared.metrics.probes_unserved),
+        ProbeError::Unserved => {
+            metrics::increment(&shared.metrics.probes_unserved);
+            backend.connect_hold.record_unserved(shared.clock.now());
+        }
         ProbeError::Closed => backend.pool.invalidate(),
         ProbeError::NoConnection | ProbeError::NotAccepted => {}
     }
@@ -107,6 +147,7 @@
         pool::Error::Connect => ProbeError::Failed(health::Failure::Connect),
         pool::Error::Full => ProbeError::NoConnection,
     })?;
+    shared.count_opened(opened::Reason::HealthCheck, &connection);
     if !backend.accepts(shared.clock.now()) {
         return Err(ProbeError::NotAccepted);
     }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -203,6 +203,7 @@
     let service = &table.services[route.next_service()];
     let retry_budget = &call.shared.settings.bounds.retry_budget;
     let now = call.shared.clock.now();
+    call.shared.connect_budget.deposit(now);
     service
         .budget
         .deposit(now, retry_budget, table.processes_count());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,11 +1,13 @@
 //! State that all tasks of a gateway share.
 
-use crate::{backend, buffer, decisions, dialect, metrics, pool, server_traffic, settings, table};
+use crate::{
+    backend, buffer, decisions, dialect, metrics, opened, pool, server_traffic, settings, table,
+};
 use arc_swap::ArcSwap;
 use hyper::header;
 use nutmegdale_admission::bucket;
 use nutmegdale_base::{clock, rng};
-use nutmegdale_dispatch::health;
+use nutmegdale_dispatch::{connects, health};
 use nutmegdale_quota::gate;
 use nutmegdale_registry::config;
 use nutmegdale_rpc::client;
@@ -36,6 +38,8 @@
     confirmed_at_ms: atomic::AtomicU64,
     /// Token bucket that limits health checks.
     pub probe_budget: bucket::Bucket,
+    /// Limits the connections that health checks open.
+    pub connect_budget: connects::Budget,
     /// Client for calls to coordinators.
     pub client: client::Client,
     /// Whether the process is shutting down.
@@ -50,6 +54,8 @@
     pub buffer_budget: sync::Arc<buffer::Budget>,
     /// Bytes to and from servers.
     pub server_traffic: server_traffic::ServerTraffic,
+    /// Connections opened to servers.
+    pub opened: opened::Opened,
     /// Log of the decisions on requests.
     pub decision_log: decisions::DecisionLog,
     /// Logger of everything else.
@@ -79,6 +85,7 @@
         dependencies: Dependencies,
         initial: table::Table,
     ) -> Shared {
+        let connect_budget = connects::Budget::new(dependencies.clock.now());
         Shared {
             client: client::Client::new(&settings.cluster_token),
             settings,
@@ -90,12 +97,14 @@
             is_configured: watch::channel(false).0,
             confirmed_at_ms: atomic::AtomicU64::new(0),
             probe_budget: bucket::Bucket::new(),
+            connect_budget,
             is_stopping: atomic::AtomicBool::new(false),
             stop_end_ms: atomic::AtomicU64::new(u64::MAX),
             is_ending: watch::channel(false).0,
             metrics: metrics::Metrics::new(),
             buffer_budget: sync::Arc::default(),
             server_traffic: server_traffic::ServerTraffic::new(),
+            opened: opened::Opened::new(),
             decision_log: decisions::DecisionLog::new(dependencies.log.clone()),
             log: dependencies.log,
             seed: atomic::AtomicU64::new(dependencies.seed),
@@ -147,6 +156,7 @@
         [
             text.into_bytes(),
             self.server_traffic.text(),
+            self.opened.text(),
             self.client.traffic.text(),
         ]
         .concat()
@@ -189,6 +199,13 @@
         drop(is_ending.wait_for(|is_ending| *is_ending).await);
     }
 
+    /// Counts a connection that was opened for `reason`.
+    pub fn count_opened(&self, reason: opened::Reason, connection: &pool::Connection) {
+        if !connection.is_reused {
+            self.opened.count(reason, connection.cause);
+        }
+    }
+
     /// Returns whether callers may be directed to this process.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.table.load().config_version > 0
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -9,7 +9,7 @@
 use hyper::header;
 use hyper_util::rt;
 use nutmegdale_base::{class, clock};
-use nutmegdale_dispatch::{budget, cold, estimate, health};
+use nutmegdale_dispatch::{budget, cold, estimate, health, signal};
 use nutmegdale_gateway::{buffer, dialect, pool, proxy, settings, state, table};
 use nutmegdale_registry::{config, follow, server as registry};
 use nutmegdale_rpc::listen;
@@ -67,6 +67,7 @@
                 let millis = millis.to_str().ok()?.parse().ok()?;
                 Some(clock::Millis(millis))
             }),
+            report: parse_load(headers),
             ..dialect::Response::default()
         }
     }
@@ -74,6 +75,18 @@
     fn prepare_local_response(&self, _headers: &mut header::HeaderMap, _request_id: Option<&str>) {}
 }
 
+/// Parses the header `load`: running and waiting requests, slots, slowdown in percent.
+fn parse_load(headers: &header::HeaderMap) -> Option<signal::Report> {
+    let value = headers.get("load")?.to_str().ok()?;
+    let mut figures = value.split(' ').map(|figure| figure.parse().ok());
+    Some(signal::Report {
+        running: figures.next()??,
+        waiting: figures.next()??,
+        slots: figures.next()??,
+        slowdown_percent: figures.next()??,
+    })
+}
+
 /// Codec that is never called, since the tests publish tables themselves.
 struct UnusedCodec;
 
@@ -219,6 +232,23 @@
         line.expect("a series").trim().parse().expect("a number")
     }
 
+    /// Returns the values of the series whose names start with `prefix`.
+    pub(crate) fn metrics(&self, prefix: &str) -> Vec<(String, u64)> {
+        let text = String::from_utf8(self.shared.metrics_text()).expect("a text");
+        let lines = text.lines().filter(|line| line.starts_with(prefix));
+        let series = lines.filter_map(|line| {
+            let (name, value) = line.rsplit_once(' ')?;
+            Some((name.to_owned(), value.parse().ok()?))
+        });
+        series.collect()
+    }
+
+    /// Sets the limit of connections of each server.
+    pub(crate) fn set_limits(&mut self, connections_max: u32) {
+        self.config.services[0].connections_max = connections_max;
+        self.configure();
+    }
+
     /// Publishes a table in which the zone of the servers is out of service.
     pub(crate) fn set_zone_out(&self) {
         let mut copy = self.copy.clone();
@@ -319,6 +349,33 @@
         self.configure();
     }
 
+    /// Adds a route for "/order/" whose requests must not run twice.
+    pub(crate) fn add_one_time_route(&mut self) {
+        let mut route = self.config.routes[0].clone();
+        route.name = "order".to_owned();
+        route.prefix = "/order/".to_owned();
+        route.class = class::Class::OneTimeFiling;
+        self.config.routes.push(route);
+        self.config.version += 1;
+        self.copy.version += 1;
+        self.configure();
+    }
+
+    /// Makes the gateway one of `count` that share the limits of servers with `slots` slots.
+    pub(crate) fn share_servers(&mut self, count: usize, slots: u32) {
+        self.copy.entries = (0..count)
+            .map(|n| follow::Entry {
+                name: format!("entry-{n}"),
+                ..settings().entry
+            })
+            .collect();
+        for known in self.copy.servers.values_mut() {
+            known.announcement.slots = slots;
+        }
+        self.copy.index += 1;
+        self.configure();
+    }
+
     /// Sends a request and reads the response, which must be complete.
     pub(crate) async fn send(&self, id: &str) -> CallerResponse {
         self.try_send(id).await.expect("a complete response")
