gateway: large bodies are counted whole and stop when they are refused

Two tests failed on the code before: the part of a body that is streamed, since no memory is left to hold it, counted neither in the cost of placement nor in the counted bytes; and a server that refused a request before it had read the body got the whole body all the same, since the system's send buffer had taken it.

Both now count the whole body. The refused request's connection is closed at once, and the system holds at most 32 KiB unsent for a connection. A connection whose body is not through is kept out of the pool and open until it is; a kept connection that takes no request within 20 ms is given up, since a health check waited for it without a limit (found in the code; no test shows it).

Ruled out: bodies that are cut or sent twice when a server responds early or breaks off.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     backend, call, in_flight, interim, metrics, opened, payload, pool, server_traffic, state,
+    upload,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -145,17 +146,18 @@
 ) -> AttemptResult {
     let req = request_head(shared, &attempt, time_left);
     let bytes = request_bytes(shared, &attempt.backend);
-    let buffered_bytes = attempt.payload.buffered.len() as u64;
     bytes
         .sent
-        .inc_by(server_traffic::head_bytes(req.headers()) + buffered_bytes);
+        .inc_by(server_traffic::head_bytes(req.headers()) + attempt.payload.len_hint());
+    let (body, progress) = upload::track(attempt.payload);
     let sent = SentRequest {
         backend: attempt.backend,
         request_id: attempt.request_id,
         end: attempt.deadline + call::DEADLINE_MARGIN_MS,
         room: attempt.prediction.room(),
+        progress,
     };
-    let mut req = req.map(|()| attempt.payload.into_body());
+    let mut req = req.map(|()| body);
     let interim = interim::Limit::watch(&mut req);
     let response = tokio::select! {
         biased;
@@ -200,6 +202,7 @@
     /// Time at which a streamed response fails.
     end: clock::Millis,
     room: estimate::Room,
+    progress: upload::Progress,
 }
 
 impl SentRequest {
@@ -216,7 +219,7 @@
 
     /// Checks the head of a response and reads its body.
     async fn receive(
-        self,
+        mut self,
         shared: &sync::Arc<state::Shared>,
         in_flight: &mut in_flight::InFlight,
         connection: pool::Connection,
@@ -240,7 +243,10 @@
         shared.record_availability(&self.backend, &metadata);
         if metadata.is_not_run {
             in_flight.record_refusal(&metadata);
-            if is_short(incoming).await {
+            if !self.progress.is_complete() {
+                // The rest of the body would only keep the link busy.
+                connection.abort();
+            } else if is_short(incoming).await {
                 state::checkin(&self.backend, in_flight.now(), connection, &head.headers);
             }
             return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
@@ -255,7 +261,7 @@
 
     /// Returns the response, whose body keeps its connection if it is still being read.
     fn answer(
-        self,
+        mut self,
         in_flight: &mut in_flight::InFlight,
         connection: pool::Connection,
         head: hyper::http::response::Parts,
@@ -266,6 +272,10 @@
         let last = self.backend.signal.last_report(now);
         let buffered_bytes = payload.buffered.len() as u64;
         let body = match payload.rest {
+            None if !self.progress.is_complete() => {
+                self.progress.finish(connection, self.end.since(now));
+                payload.into_body()
+            }
             None => {
                 state::checkin(&self.backend, now, connection, &head.headers);
                 payload.into_body()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -269,7 +269,7 @@
     async fn pick_server(&mut self, call: &call::Call<'_>, target: &Target) -> PickResult {
         let profile = placement::RequestProfile {
             service_time_ms: self.route.estimate.service_time_ms(),
-            transfer_kb: self.buffered_kb() + self.route.estimate.response_kb(),
+            transfer_kb: self.body_kb() + self.route.estimate.response_kb(),
             saturation_factor: self.route.estimate.saturation_factor(),
             target_ms: self.route.spec.target_latency.0 as f64,
         };
@@ -329,13 +329,10 @@
         hedge_timer
     }
 
-    /// Returns the size of the buffered part of the body in kilobytes.
-    fn buffered_kb(&self) -> f64 {
-        let buffered_bytes = self
-            .payload
-            .as_ref()
-            .map_or(0, |payload| payload.buffered.len());
-        buffered_bytes as f64 / 1_000.0
+    /// Returns the size of the body in kilobytes, also of the part that is not buffered.
+    fn body_kb(&self) -> f64 {
+        let bytes = self.payload.as_ref().map_or(0, payload::Payload::len_hint);
+        bytes as f64 / 1_000.0
     }
 
     fn time_left(&self, call: &call::Call<'_>) -> admission::TimeLeft {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod settings;
 pub mod state;
 pub mod table;
+mod upload;
--- a/crates/gateway/src/payload.rs
+++ b/crates/gateway/src/payload.rs
@@ -75,9 +75,23 @@
         }
     }
 
+    /// Returns the number of bytes of the body, or of what is known of them.
+    pub fn len_hint(&self) -> u64 {
+        let rest = self
+            .rest
+            .as_ref()
+            .map_or(0, |rest| rest.size_hint().lower());
+        self.buffered.len() as u64 + rest
+    }
+
+    /// Returns whether the body is passed on as one part.
+    pub fn is_one_part(&self) -> bool {
+        self.rest.is_none() && self.buffered.len() <= PART_MAX_BYTES
+    }
+
     /// Converts the payload into a body that yields the buffered bytes and then the rest.
     pub fn into_body(self) -> listen::Body {
-        if self.rest.is_none() && self.buffered.len() <= PART_MAX_BYTES {
+        if self.is_one_part() {
             return listen::full(self.buffered);
         }
         listen::Body::new(ChainedBody {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic;
 use std::time;
 use tokio::net::TcpStream;
+use tokio::task;
 
 /// Handle that sends one request at a time over an HTTP/1.1 connection.
 pub type Sender = http1::SendRequest<listen::Body>;
@@ -27,8 +28,14 @@
 const CONNECT_TIMEOUT_MS: clock::Millis = clock::Millis(500);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_MS: u64 = 2_000;
+/// Maximum number of bytes that the system holds before it sends them (`TCP_NOTSENT_LOWAT`). More of a
+/// body would be sent although its request was refused or its caller has left.
+const UNSENT_MAX_BYTES: u32 = 32 * 1024;
 /// Maximum size of the read buffer of a connection, and so of the head of a response, in bytes.
 const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
+/// Maximum wait until a kept connection takes a request. One that still sends the last bytes of an
+/// earlier body takes longer; waiting for it costs more than a new connection.
+const READY_WAIT: time::Duration = time::Duration::from_millis(20);
 /// Maximum number of idle connections in a pool.
 const IDLE_MAX_COUNT: usize = 8;
 
@@ -51,9 +58,18 @@
     /// Why it was opened.
     pub cause: opened::Cause,
     generation: u64,
+    /// Task that reads and writes.
+    task: task::AbortHandle,
     _permit: OpenPermit,
 }
 
+impl Connection {
+    /// Closes the connection without sending what is left of a request.
+    pub fn abort(self) {
+        self.task.abort();
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
@@ -143,7 +159,9 @@
         idle_max: clock::Millis,
     ) -> Result<Connection, Error> {
         while let Some(mut connection) = self.pop_idle(now, idle_max) {
-            if connection.sender.ready().await.is_ok() {
+            let ready = connection.sender.ready();
+            let ready = tokio::time::timeout(READY_WAIT, ready).await;
+            if matches!(ready, Ok(Ok(()))) {
                 return Ok(connection);
             }
         }
@@ -186,20 +204,22 @@
         stream.set_nodelay(true).map_err(|_| Error::Connect)?;
         let unacknowledged = time::Duration::from_millis(UNACKNOWLEDGED_MS);
         let socket = socket2::SockRef::from(&stream);
-        // The connection works without this option; requests have their own deadlines.
+        // The connection works without these options; requests have their own deadlines.
         drop(socket.set_tcp_user_timeout(Some(unacknowledged)));
+        drop(socket.set_tcp_notsent_lowat(UNSENT_MAX_BYTES));
         let io = rt::TokioIo::new(stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_MAX_BYTES);
         let handshake = builder.handshake::<_, listen::Body>(io).await;
         let (sender, conn) = handshake.map_err(|_| Error::Connect)?;
         // Connection errors are reported to the request through its `SendRequest`.
-        tokio::spawn(async move { drop(conn.await) });
+        let task = tokio::spawn(async move { drop(conn.await) }).abort_handle();
         Ok(Connection {
             sender,
             is_reused: false,
             cause,
             generation: self.generation.load(atomic::Ordering::Relaxed),
+            task,
             _permit: permit,
         })
     }
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -243,6 +243,12 @@
         series.collect()
     }
 
+    /// Sets the largest body that callers may send.
+    pub(crate) fn set_body_max(&mut self, bytes: u64) {
+        self.config.listeners.body_max_bytes = bytes;
+        self.configure();
+    }
+
     /// Sets the limit of connections of each server.
     pub(crate) fn set_limits(&mut self, connections_max: u32) {
         self.config.services[0].connections_max = connections_max;
