--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,8 +6,8 @@
 //! and, up to the buffering limit, only once it is complete.
 
 use crate::{
-    backend, call, caller, in_flight, interim, metrics, payload, pool, rollouts, server_traffic,
-    state,
+    backend, call, caller, in_flight, interim, metrics, opened, payload, pool, rollouts,
+    server_traffic, state, upload,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -121,6 +121,11 @@
         }
         Err(_) => return AttemptResult::NotRun(outcome::Reason::Deadline, false),
     };
+    let reason = match attempt.is_one_time {
+        true => opened::Reason::OneTimeRequest,
+        false => opened::Reason::Request,
+    };
+    shared.count_opened(reason, &connection);
     let time_left = attempt.deadline.since(in_flight.now());
     if time_left == clock::Millis::ZERO {
         return AttemptResult::NotRun(outcome::Reason::Deadline, false);
@@ -168,18 +173,19 @@
 ) -> AttemptResult {
     let req = request_head(shared, &attempt, time_left);
     let bytes = request_bytes(shared, &attempt.backend);
-    let buffered_bytes = attempt.payload.buffered.len() as u64;
     bytes
         .sent
-        .inc_by(server_traffic::head_bytes(req.headers()) + buffered_bytes);
+        .inc_by(server_traffic::head_bytes(req.headers()) + attempt.payload.len_hint());
+    let (body, progress) = upload::track(attempt.payload);
     let sent = SentRequest {
         backend: attempt.backend,
         request_id: attempt.request_id,
         end: attempt.deadline + call::DEADLINE_MARGIN_MS,
         room: attempt.prediction.room(),
         selection: attempt.selection,
+        progress,
     };
-    let mut req = req.map(|()| attempt.payload.into_body());
+    let mut req = req.map(|()| body);
     let interim = interim::Limit::watch(&mut req);
     let response = tokio::select! {
         biased;
@@ -228,6 +234,7 @@
     end: clock::Millis,
     room: estimate::Room,
     selection: rollouts::Selection,
+    progress: upload::Progress,
 }
 
 impl SentRequest {
@@ -244,7 +251,7 @@
 
     /// Checks the head of a response and reads its body.
     async fn receive(
-        self,
+        mut self,
         shared: &sync::Arc<state::Shared>,
         in_flight: &mut in_flight::InFlight,
         connection: pool::Connection,
@@ -268,7 +275,10 @@
         shared.record_availability(&self.backend, &metadata);
         if metadata.is_not_run {
             in_flight.record_refusal(&metadata);
-            if is_short(incoming).await {
+            if !self.progress.is_complete() {
+                // The rest of the body would only keep the link busy.
+                connection.abort();
+            } else if is_short(incoming).await {
                 state::checkin(&self.backend, in_flight.now(), connection, &head.headers);
             }
             return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
@@ -283,7 +293,7 @@
 
     /// Returns the response, whose body keeps its connection if it is still being read.
     fn answer(
-        self,
+        mut self,
         in_flight: &mut in_flight::InFlight,
         connection: pool::Connection,
         head: hyper::http::response::Parts,
@@ -294,6 +304,10 @@
         let last = self.backend.signal.last_report(now);
         let buffered_bytes = payload.buffered.len() as u64;
         let body = match payload.rest {
+            None if !self.progress.is_complete() => {
+                self.progress.finish(connection, self.end.since(now));
+                payload.into_body()
+            }
             None => {
                 state::checkin(&self.backend, now, connection, &head.headers);
                 payload.into_body()
