--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`connects`] limits the connections that health checks open,
 //! [`cold`] paces requests to servers that warm up, [`placement`] predicts the latency of each
 //! candidate server and ranks them, [`estimate`] learns the cost of a route's requests from
-//! responses, [`hedge`] decides when a hedged request is due, [`budget`] limits retries and hedges,
+//! responses, [`hedge`] decides when a hedged request is due, [`locality`] how many requests leave the zone, [`budget`] limits retries and hedges,
 //! [`split`] divides a route's requests among services, [`pressure`] measures how short of capacity a
 //! service is, [`precedence`] keeps slots free for urgent requests, [`return_time`] tells
 //! refused callers when to return, [`shedding`] tells a service that rejects a part of its requests
@@ -20,6 +20,7 @@
 pub mod estimate;
 pub mod health;
 pub mod hedge;
+pub mod locality;
 pub mod placement;
 pub mod precedence;
 pub mod pressure;
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -448,6 +448,19 @@
         route.name = "order".to_owned();
         route.prefix = "/order/".to_owned();
         route.class = class::Class::OneTimeFiling;
+        self.add_route(route);
+    }
+
+    /// Adds a less urgent route to the same service, to which requests for "/patient/" go.
+    pub(crate) fn add_patient_route(&mut self) {
+        let mut route = self.config.routes[0].clone();
+        route.name = "patient".to_owned();
+        route.prefix = "/patient/".to_owned();
+        route.priority = self.config.routes[0].priority + 1;
+        self.add_route(route);
+    }
+
+    fn add_route(&mut self, route: config::Route) {
         self.config.routes.push(route);
         self.config.version += 1;
         self.copy.version += 1;
@@ -469,6 +482,20 @@
         self.configure();
     }
 
+    /// Makes every server look as if it ran `running` requests of other processes.
+    pub(crate) fn report_load(&self, running: u32) {
+        let report = signal::Report {
+            running,
+            waiting: 0,
+            slots: 4,
+            slowdown_percent: 100,
+        };
+        for backend in self.shared.table.load().backends() {
+            let now = self.shared.clock.now();
+            backend.signal.record_report(now, report, 0);
+        }
+    }
+
     /// Sends a request and reads the response, which must be complete.
     pub(crate) async fn send(&self, id: &str) -> CallerResponse {
         self.try_send(id).await.expect("a complete response")
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -182,6 +182,9 @@
         }
         if !ask.is_elsewhere {
             self.exhausted_until = now + give.exhausted_for;
+            if self.return_at < now {
+                self.return_at = now + give.first_in;
+            }
             self.elsewhere_left = 0;
             if now >= self.elsewhere_at {
                 self.elsewhere_at = now + ELSEWHERE_INTERVAL;
@@ -279,6 +282,12 @@
         })
     }
 
+    /// Renumbers a question, so that coordinators which have answered it can be asked again.
+    pub fn repeat(&mut self, req: &mut TakeRequest) {
+        self.last_number += 1;
+        req.number = self.last_number;
+    }
+
     /// Uses the answer to a question that was sent at `asked_at`, removes the accounts that it
     /// settles from the question, and returns the decisions that follow. What is left is to be asked
     /// of another coordinator, which may have a share.
