--- a/crates/rpc/src/listen/head.rs
+++ b/crates/rpc/src/listen/head.rs
@@ -10,23 +10,44 @@
 pub(super) struct EndFinder {
     /// Whether the start line has begun; empty lines before it are ignored.
     is_begun: bool,
-    /// Whether the last line has ended and the next one is empty so far.
-    is_at_line_start: bool,
+    /// Whether the current line has bytes other than a carriage return.
+    has_text: bool,
 }
 
 impl EndFinder {
     /// Takes the next bytes; returns the position after the head if it ends within them.
     pub(super) fn find(&mut self, bytes: &[u8]) -> Option<usize> {
-        for (n, byte) in bytes.iter().enumerate() {
-            match byte {
-                b'\n' if self.is_at_line_start => return Some(n + 1),
-                b'\n' => self.is_at_line_start = self.is_begun,
-                b'\r' => {}
-                _ => (self.is_begun, self.is_at_line_start) = (true, false),
+        let mut start = 0;
+        for end in memchr::memchr_iter(b'\n', bytes) {
+            self.add(&bytes[start..end]);
+            if self.is_begun && !self.has_text {
+                return Some(end + 1);
             }
+            self.has_text = false;
+            start = end + 1;
         }
+        self.add(&bytes[start..]);
         None
     }
+
+    fn add(&mut self, part: &[u8]) {
+        self.has_text |= part.iter().any(|byte| *byte != b'\r');
+        self.is_begun |= self.has_text;
+    }
+}
+
+/// Returns the body length that the last lines of a head state, 0 if they state none. It is only good
+/// for passing bytes on sooner: the head may have begun earlier, and nobody has validated it.
+pub(super) fn guess_body_length(lines: &[u8]) -> u64 {
+    const NAME: &[u8] = b"content-length:";
+    let value = lines.split(|byte| *byte == b'\n').find_map(|line| {
+        let (name, value) = line.split_at_checked(NAME.len())?;
+        name.eq_ignore_ascii_case(NAME).then_some(value)
+    });
+    let value = value.and_then(|value| std::str::from_utf8(value).ok());
+    value
+        .and_then(|value| value.trim().parse().ok())
+        .unwrap_or(0)
 }
 
 /// What may follow a request on its connection.
--- a/crates/rpc/src/listen/stream.rs
+++ b/crates/rpc/src/listen/stream.rs
@@ -20,8 +20,8 @@
 enum Position {
     /// Within or before a head.
     Head(head::EndFinder),
-    /// After a head; the library has not yet asked for more.
-    HeadEnd,
+    /// After a head and this many bytes behind it; the library has not yet asked for more.
+    HeadEnd(u64),
     /// Within a body, before this many bytes of it.
     Body(u64),
     /// After a request, which may be unfinished.
@@ -75,14 +75,16 @@
         }
     }
 
-    /// Returns the position after the head, now that the library has asked for more bytes.
-    fn after_head(&self) -> Position {
+    /// Returns the position after the head and `passed` bytes, now that the library has asked for more
+    /// bytes.
+    fn after_head(&self, passed: u64) -> Position {
         if self.ahead.activity.started_count() != self.heads_count {
             return Position::Unknown;
         }
-        match self.ahead.activity.body_length() {
+        let length = self.ahead.activity.body_length();
+        match length.and_then(|length| length.checked_sub(passed)) {
             Some(0) => Position::RequestEnd,
-            Some(length) => Position::Body(length),
+            Some(left) => Position::Body(left),
             None => Position::Unknown,
         }
     }
@@ -115,17 +117,20 @@
         task::Poll::Ready(Ok(()))
     }
 
-    /// Counts the bytes up to the end of the head as passed on; returns their number.
+    /// Counts the bytes up to the end of the head, and those of the body if it seems to have one, as
+    /// passed on; returns their number.
     fn pass_head(&mut self, mut finder: head::EndFinder, bytes: &[u8]) -> usize {
-        let end = finder.find(bytes);
-        self.position = match end {
-            Some(_) => {
-                self.heads_count += 1;
-                Position::HeadEnd
-            }
-            None => Position::Head(finder),
+        let Some(end) = finder.find(bytes) else {
+            self.position = Position::Head(finder);
+            return bytes.len();
         };
-        end.unwrap_or(bytes.len())
+        self.heads_count += 1;
+        let mut behind = (bytes.len() - end) as u64;
+        if behind > 0 {
+            behind = behind.min(head::guess_body_length(&bytes[..end]));
+        }
+        self.position = Position::HeadEnd(behind);
+        end + behind as usize
     }
 
     fn pass_body(&mut self, left: u64, bytes: &[u8]) -> usize {
@@ -222,8 +227,8 @@
         if buf.remaining() == 0 {
             return task::Poll::Ready(Ok(()));
         }
-        if let Position::HeadEnd = stream.position {
-            stream.position = stream.after_head();
+        if let Position::HeadEnd(passed) = stream.position {
+            stream.position = stream.after_head(passed);
         }
         if let Position::RequestEnd = stream.position {
             if !stream.ahead.activity.is_idle() {
--- a/crates/rpc/tests/pipelining.rs
+++ b/crates/rpc/tests/pipelining.rs
@@ -338,3 +338,43 @@
     assert_eq!(listener.count("begin"), 43, "{}", listener.log());
     assert_eq!(listener.count("drop"), 0);
 }
+
+/// Guards against bytes that are lost, repeated or passed on as part of the wrong request where a head
+/// or body is cut, also when the head misleads the search for the length of its body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn body_is_skipped_wherever_segments_end() {
+    let misleading = "POST /p HTTP/1.1\r\nhost: h\r\nx: y\r\ntransfer-encoding: chunked\r\n\
+                      content-length : 9\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    let text = [post("/p", &get("/hidden")), get("/2"), get("/3")].concat();
+    let runs = (1..text.len()).step_by(5).map(|cut| {
+        let text = text.clone();
+        async move {
+            let listener = start().await;
+            let mut stream = listener.connect().await;
+            let (first, second) = text.split_at(cut);
+            for part in [first, second] {
+                stream.write_all(part.as_bytes()).await.expect("connected");
+                tokio::time::sleep(time::Duration::from_millis(10)).await;
+            }
+            assert_eq!(
+                read_paths(&mut stream, 3).await,
+                ["/p", "/2", "/3"],
+                "cut at {cut}"
+            );
+            assert_eq!(
+                listener.count("begin"),
+                3,
+                "cut at {cut}: {}",
+                listener.log()
+            );
+        }
+    });
+    futures_util::future::join_all(runs).await;
+    let listener = start().await;
+    let mut stream = listener.connect().await;
+    let text = [misleading.to_owned(), get("/2")].concat();
+    stream.write_all(text.as_bytes()).await.expect("connected");
+    let paths = read_paths(&mut stream, 2).await;
+    assert!(paths.is_empty(), "ambiguous framing is refused: {paths:?}");
+    assert_eq!(listener.count("begin"), 0, "{}", listener.log());
+}
