--- a/crates/dispatch/src/connects.rs
+++ b/crates/dispatch/src/connects.rs
@@ -49,13 +49,22 @@
 
     /// Adds the tokens for one request, and for the time that has passed.
     pub fn deposit(&self, now: clock::Millis) {
-        let order = atomic::Ordering::Relaxed;
-        let last = self.refilled_ms.fetch_max(now.0, order);
+        let last = self.refilled_ms.fetch_max(now.0, atomic::Ordering::Relaxed);
         let passed_ms = now
             .0
             .saturating_sub(last)
             .min(SAVED_MAX / MILLISECOND_TOKENS);
-        let added = REQUEST_TOKENS + passed_ms * MILLISECOND_TOKENS;
+        self.add(REQUEST_TOKENS + passed_ms * MILLISECOND_TOKENS);
+    }
+
+    /// Returns the token of a kept connection that went silent, so that it can be replaced: such
+    /// faults come in groups.
+    pub fn refund(&self) {
+        self.add(TOKEN);
+    }
+
+    fn add(&self, added: u64) {
+        let order = atomic::Ordering::Relaxed;
         let add = |tokens: u64| Some((tokens + added).min(SAVED_MAX));
         // The update always returns a value, so it cannot fail.
         let _ = self.tokens.fetch_update(order, order, add);
--- a/crates/dispatch/tests/connects.rs
+++ b/crates/dispatch/tests/connects.rs
@@ -54,6 +54,8 @@
         count += 1;
     }
     assert_eq!(count, 24);
+    budget.refund();
+    assert!(budget.withdraw(), "a silent connection can be replaced");
 }
 
 /// Guards against a storm of connects to a server that resets them, and against a server that gets
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -121,6 +121,7 @@
         ProbeError::Failed(failure) => {
             if failure == health::Failure::Silence {
                 backend.pool.invalidate();
+                shared.connect_budget.refund();
             }
             shared.record_failure(&backend, failure, "health check");
         }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -87,6 +87,9 @@
         request_id: metadata.request_id.unwrap_or("").into(),
         trace: decisions::Trace::default(),
     };
+    if req.body().is_none() {
+        call.trace.push_event(call.elapsed(), "pipelined");
+    }
     let final_response = match route {
         _ if table.config_version == 0 => {
             let retry_after = Some(UNCONFIGURED_RETRY_MS.min(clock::Millis(timeout.0 / 3)));
