--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -90,6 +90,9 @@
         account: None,
         trace: decisions::Trace::default(),
     };
+    if req.body().is_none() {
+        call.trace.push_event(call.elapsed(), "pipelined");
+    }
     let final_response = match route {
         _ if table.config_version == 0 => {
             let retry_after = Some(UNCONFIGURED_RETRY_MS.min(clock::Millis(timeout.0 / 3)));
