--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -314,14 +314,17 @@
     }
 }
 
-/// Leaves out the servers to which no connection may be opened now. For a send, they are left out only
-/// while there are others.
+/// Leaves out the servers to which no connection may be opened now, where the deployment limits
+/// connections. For a send, they are left out only while there are others.
 fn reachable<'a>(
     shared: &state::Shared,
     considered: Vec<&'a sync::Arc<backend::Backend>>,
     purpose: placement::Purpose,
     now: clock::Millis,
 ) -> Vec<&'a sync::Arc<backend::Backend>> {
+    if !shared.settings.features.limits_connections {
+        return considered;
+    }
     let is_reachable = |backend: &backend::Backend| match purpose {
         placement::Purpose::Send => backend.pool.has_kept(now) || backend.connect_hold.allows(now),
         _ => probe::is_within_budget(shared, backend, now),
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -64,7 +64,8 @@
 ) -> Option<task::JoinHandle<()>> {
     refresh_if(shared, backend, path, |now| {
         let may_connect = || backend.connect_hold.allows(now) && shared.connect_budget.withdraw();
-        let is_allowed = backend.pool.has_kept(now) || may_connect();
+        let is_limited = shared.settings.features.limits_connections;
+        let is_allowed = !is_limited || backend.pool.has_kept(now) || may_connect();
         if !is_allowed {
             metrics::increment(&shared.metrics.probes_unconnected);
         }
@@ -78,7 +79,8 @@
     backend: &backend::Backend,
     now: clock::Millis,
 ) -> bool {
-    backend.pool.has_kept(now)
+    !shared.settings.features.limits_connections
+        || backend.pool.has_kept(now)
         || backend.probe.is_running()
         || (backend.connect_hold.allows(now) && shared.connect_budget.has_token())
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,8 @@
     pub accounts: Option<Accounts>,
     /// Limits of client accounts over all processes.
     pub quotas: Option<gate::Bound>,
+    /// Whether health checks open connections to servers only within a budget.
+    pub limits_connections: bool,
     /// Sending the surplus of a zone to other zones.
     pub locality: Option<locality::Bound>,
 }
