--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -90,6 +90,9 @@
         account: None,
         trace: decisions::Trace::default(),
     };
+    if req.body().is_none() {
+        call.trace.push_event(call.elapsed(), "pipelined");
+    }
     let final_response = match route {
         _ if table.config_version == 0 => {
             let retry_after = Some(UNCONFIGURED_RETRY_MS.min(clock::Millis(timeout.0 / 3)));
@@ -224,6 +227,7 @@
     let service = &table.services[route.next_service()];
     let retry_budget = &call.shared.settings.bounds.retry_budget;
     let now = call.shared.clock.now();
+    call.shared.connect_budget.deposit(now);
     service
         .budget
         .deposit(now, retry_budget, table.processes_count());
--- a/crates/gateway/tests/stub/observe.rs
+++ b/crates/gateway/tests/stub/observe.rs
@@ -120,7 +120,7 @@
 ) -> Result<hyper::Response<listen::Body>, convert::Infallible> {
     if req.uri().path() == "/health" {
         // Hedges go only to servers that report free slots.
-        let response = hyper::Response::builder().header("slots", "4");
+        let response = hyper::Response::builder().header("load", "0 0 4 100");
         return Ok(response.body(listen::full("")).expect("a valid response"));
     }
     let head = req.headers().clone();
