--- a/crates/coordinator/src/rollouts.rs
+++ b/crates/coordinator/src/rollouts.rs
@@ -199,6 +199,15 @@
     ///
     /// `Unavailable` if no quorum confirms the leader.
     pub async fn rollout(&self, service: &str) -> operations::Result<Option<rollout::Rollout>> {
+        let limit = time::Duration::from_millis(CALL_TIMEOUT_MS);
+        let read = tokio::time::timeout(limit, self.rollout_untimed(service)).await;
+        read.unwrap_or_else(|_| {
+            let text = "no quorum has confirmed the state in time".to_owned();
+            Err(operations::Error::Unavailable(text))
+        })
+    }
+
+    async fn rollout_untimed(&self, service: &str) -> operations::Result<Option<rollout::Rollout>> {
         let timeout = clock::Millis(CALL_TIMEOUT_MS);
         let unavailable =
             |err: &dyn std::fmt::Display| operations::Error::Unavailable(err.to_string());
