dispatch, gateway, quota: reserves follow recent requests; a restart of all coordinators does not stop limited accounts

(1) A service counted as having several priorities once the configuration had a route of another one, also if it got a request now and then; requests then left slots free, kept tokens of the retry budget and got scheduled retry times for nobody.

Change: a priority counts while it has 6 in 100 of the recent requests (dispatch::demand). Among accounts of the same priority, that of the route decides. Once all members of the group take replies of the new leader and have been up for the validity of tokens, the leader knows all shares and waits no longer.

--- a/crates/coordinator/src/quota.rs
+++ b/crates/coordinator/src/quota.rs
@@ -177,7 +177,9 @@
             state.division = Some(self.start_division(quota, state, now, term));
         }
         let division = state.division.as_mut()?;
-        division.expect(status.members.members.len());
+        let members = &status.members.members;
+        division.expect(members.len());
+        division.set_members(members.iter().map(|member| member.address));
         Some(division)
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,7 +8,7 @@
 //! candidate server and ranks them, [`estimate`] learns the cost of a route's requests from
 //! responses, [`hedge`] decides when a hedged request is due, [`locality`] how many requests leave the zone, [`budget`] limits retries and hedges,
 //! [`split`] divides a route's requests among services, [`pressure`] measures how short of capacity a
-//! service is, [`precedence`] keeps slots free for urgent requests, [`return_time`] tells
+//! service is, [`precedence`] keeps slots free for urgent requests, as far as [`demand`] shows some, [`return_time`] tells
 //! refused callers when to return, [`shedding`] tells a service that rejects a part of its requests
 //! from a server that fails, and [`admission`] decides whether a request can still be served in time. Nothing here depends on HTTP; the caller is `nutmegdale-gateway`.
 
@@ -17,6 +17,7 @@
 pub mod budget;
 pub mod cold;
 pub mod connects;
+pub mod demand;
 pub mod estimate;
 pub mod health;
 pub mod hedge;
--- a/crates/dispatch/src/precedence.rs
+++ b/crates/dispatch/src/precedence.rs
@@ -7,7 +7,7 @@
 //! of the servers. Which servers these are follows from a hash of the server, so that all processes
 //! agree without messages. A less urgent request always keeps the other slots, so nothing starves.
 
-use crate::pressure;
+use crate::{demand, pressure};
 use nutmegdale_base::digest;
 
 /// Pressure from which less urgent requests no longer queue, and the reserve starts to grow: below
@@ -27,6 +27,19 @@
 /// Number of distinct positions of servers.
 const POSITIONS_COUNT: u64 = 1_000;
 
+/// Number of priorities of routes that are told apart among accounts of the same priority.
+const ROUTE_PRIORITIES_COUNT: u32 = 256;
+
+/// Returns the priority by which requests are ordered: that of the account, or of the route if the
+/// account has none. Among requests that are equal in this, the priority of the route decides.
+pub fn order(account: Option<u32>, route: u32) -> u32 {
+    let first = account.unwrap_or(route);
+    let second = route.min(ROUTE_PRIORITIES_COUNT - 1);
+    first
+        .saturating_mul(ROUTE_PRIORITIES_COUNT)
+        .saturating_add(second)
+}
+
 /// Priorities of the requests at a service, in ascending order: the most urgent first.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Levels {
@@ -52,9 +65,26 @@
         })
     }
 
-    /// Returns the most urgent priority, or 0 if there is none.
+    /// Returns the standing of a priority among those that have a part of the recent requests, or
+    /// `None` if no other one has.
+    pub fn standing_among(&self, priority: u32, recent: &demand::Demand) -> Option<Standing> {
+        if self.priorities.len() <= 1 {
+            return None;
+        }
+        let others = self.priorities.iter().filter(|other| **other != priority);
+        let present = others.filter(|other| recent.has(**other));
+        let (mut rank, mut count) = (0, 1);
+        for other in present {
+            rank += usize::from(*other < priority);
+            count += 1;
+        }
+        (count > 1).then_some(Standing { rank, count })
+    }
+
+    /// Returns the most urgent priority of an account or route, or 0 if there is none.
     pub fn most_urgent(&self) -> u32 {
-        self.priorities.first().copied().unwrap_or(0)
+        let first = self.priorities.first().copied().unwrap_or(0);
+        first / ROUTE_PRIORITIES_COUNT
     }
 }
 
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -11,6 +11,7 @@
 use hyper::header;
 use nutmegdale_accounts::{account, identify, key, lease};
 use nutmegdale_base::{clock, outcome};
+use nutmegdale_dispatch::precedence;
 use nutmegdale_quota::gate;
 use nutmegdale_registry::config;
 use nutmegdale_telemetry::metrics as telemetry;
@@ -60,7 +61,7 @@
 
 /// Caller whose request may be sent.
 pub(crate) struct Caller<'a> {
-    /// Priority of the account, or of the route if the account has none.
+    /// Priority by which requests are ordered.
     pub(crate) priority: u32,
     /// Regions to which route and account restrict the request; empty if they do not.
     pub(crate) home_regions: borrow::Cow<'a, [String]>,
@@ -127,7 +128,7 @@
     let route = arrival.route;
     let copy = copy_of(call.shared, arrival.table, arrival.confirmed_at);
     let mut caller = Caller {
-        priority: route.priority,
+        priority: precedence::order(None, route.priority),
         home_regions: borrow::Cow::Borrowed(&route.home_regions),
         identity: None,
         has_accounts: copy.is_some(),
@@ -157,7 +158,7 @@
         Some(regions) => regions,
         None => return Err(refuse_everywhere(call)),
     };
-    caller.priority = account.priority.unwrap_or(route.priority);
+    caller.priority = precedence::order(account.priority, route.priority);
     if account.limit.is_some() {
         let time_left = call.time_left();
         let verdict = shared.quota_gate.acquire(account, time_left).await;
--- a/crates/gateway/src/precedence.rs
+++ b/crates/gateway/src/precedence.rs
@@ -1,29 +1,40 @@
 //! Applies the priorities of a service, and the share of requests that leaves the zone, to the
 //! servers that one request may be sent to.
 //!
-//! The decisions are in `nutmegdale_dispatch::precedence` and `nutmegdale_dispatch::locality`. At a service whose requests all have the
-//! same priority, a [`Limits`] costs nothing and limits nothing.
+//! The decisions are in `nutmegdale_dispatch::precedence` and `nutmegdale_dispatch::locality`. At a
+//! service whose requests all have the same priority, nothing is limited.
 
 use crate::{backend, picker, state, table};
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{locality, placement, precedence, pressure, return_time, shedding};
+use nutmegdale_dispatch::{
+    demand, locality, placement, precedence, pressure, return_time, shedding,
+};
 use nutmegdale_registry::config;
 
-/// Returns the priorities of the requests that may reach a service: those of its routes, and those
-/// of the accounts, which take precedence over the routes'.
+/// Returns the priorities of the requests that may reach a service, from those of its routes and of
+/// the accounts.
 pub(crate) fn levels(config: &config::Config, service_name: &str) -> precedence::Levels {
     let routes = config.routes.iter().filter(|route| {
         let mut targets = route.targets.iter();
         targets.any(|target| target.service == service_name && target.weight > 0.0)
     });
-    let routes = routes.map(|route| route.priority);
     let accounts = config.accounts.iter().flatten();
-    precedence::Levels::new(routes.chain(accounts.filter_map(|account| account.priority)))
+    let mut accounts: Vec<_> = accounts.map(|account| account.priority).collect();
+    accounts.push(None);
+    accounts.sort_unstable();
+    accounts.dedup();
+    let priorities = routes.flat_map(|route| {
+        let accounts = accounts.iter();
+        accounts.map(|account| precedence::order(*account, route.priority))
+    });
+    precedence::Levels::new(priorities)
 }
 
 /// What a process remembers of the requests at one service; it is kept when the table is rebuilt.
 #[derive(Debug, Default)]
 pub struct History {
+    /// Recent requests by priority.
+    pub demand: demand::Demand,
     /// Times at which refused callers were told to return.
     pub schedule: return_time::Schedule,
     /// Rejections by servers with free slots.
@@ -44,7 +55,9 @@
     service_time_ms: f64,
 ) -> f64 {
     let can_meet_target = to_target.0 as f64 >= service_time_ms;
-    let standing = service.levels.standing(priority);
+    let standing = service
+        .levels
+        .standing_among(priority, &service.history.demand);
     standing.map_or(0.0, |standing| {
         precedence::kept_tokens(standing, can_meet_target)
     })
@@ -97,10 +110,14 @@
         query: &picker::Query<'_>,
     ) -> Limits {
         let balance = &service.history.balance;
+        let demand = &service.history.demand;
+        if query.tried.is_empty() {
+            demand.record(shared.clock.now(), query.priority);
+        }
         let bound = shared.settings.features.locality;
         let side = bound.map(|bound| balance.next(shared.clock.now(), &bound));
         Limits {
-            standing: service.levels.standing(query.priority),
+            standing: service.levels.standing_among(query.priority, demand),
             is_returning: query.is_returning,
             allowance: precedence::Allowance::ALL,
             sample: pressure::Sample::default(),
--- a/crates/gateway/tests/precedence.rs
+++ b/crates/gateway/tests/precedence.rs
@@ -15,6 +15,11 @@
     harness.report_load(4);
     assert_eq!(harness.send("single priority").await.status, 200);
     harness.add_patient_route();
+    // Slots are kept free only while urgent requests come.
+    for n in 0..4 {
+        harness.report_load(1);
+        assert_eq!(harness.send(&format!("usual {n}")).await.status, 200);
+    }
     harness.report_load(4);
     let refused = harness.try_send_to("/patient/x", "patient").await;
     let refused = refused.expect("a complete response");
--- a/crates/quota/src/division.rs
+++ b/crates/quota/src/division.rs
@@ -197,6 +197,10 @@
     spare: f64,
     expected_count: usize,
     expected_until: clock::Millis,
+    /// Addresses of the members of the group.
+    members: Vec<net::SocketAddr>,
+    /// Addresses at which no share of an earlier leader is in use that this one does not know.
+    settled: collections::BTreeSet<net::SocketAddr>,
     accounts: collections::BTreeMap<String, Account>,
     coordinators: collections::BTreeMap<u64, Coordinator>,
 }
@@ -226,6 +230,8 @@
             spare,
             expected_count: 1,
             expected_until: now + FIRST_REPORTS,
+            members: Vec::new(),
+            settled: collections::BTreeSet::new(),
             accounts: divided.collect(),
             coordinators: collections::BTreeMap::new(),
         }
@@ -242,6 +248,29 @@
         self.expected_count = count.max(1);
     }
 
+    /// Sets the addresses of the members of the group, which alone can have got shares of an earlier
+    /// leader. Once all of them are settled, as after a restart of the whole system, the rest of the
+    /// limits is known to be free, and nobody has to wait for leases of processes that have ended.
+    pub fn set_members(&mut self, members: impl Iterator<Item = net::SocketAddr>) {
+        self.members.clear();
+        self.members.extend(members);
+    }
+
+    /// Records a coordinator as settled once it takes replies of this leader only, and tokens of an
+    /// earlier run at its address have ended.
+    fn settle_address(&mut self, now: clock::Millis, report: &SharesRequest) {
+        let is_settled = report.applied.term == self.term && report.up_for >= AHEAD_VALID + STEP;
+        if now >= self.unknown_until || !is_settled {
+            return;
+        }
+        self.settled.insert(report.address);
+        let mut members = self.members.iter();
+        if !self.members.is_empty() && members.all(|member| self.settled.contains(member)) {
+            self.unknown_until = now;
+            self.expire(now);
+        }
+    }
+
     /// Replaces the limits.
     pub fn set_limits(
         &mut self,
@@ -346,6 +375,7 @@
             hold_until: now + HOLD,
         };
         self.coordinators.insert(id, coordinator);
+        self.settle_address(now, report);
         Ok(SharesReply {
             id: ReplyId {
                 term: self.term,
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -120,6 +120,8 @@
     pub demands: Vec<(String, f64)>,
     /// Tokens that were cut from shares which became smaller.
     pub returned: Vec<(String, f64)>,
+    /// Time since the first report of this run.
+    pub up_for: clock::Millis,
 }
 
 /// Reply of the leader.
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -235,6 +235,7 @@
     id: u64,
     address: net::SocketAddr,
     last_report: u64,
+    first_reported_at: Option<clock::Millis>,
     reported_at: Option<clock::Millis>,
     is_urgent: bool,
     wants_holdings: bool,
@@ -258,6 +259,7 @@
             id,
             address,
             last_report: 0,
+            first_reported_at: None,
             reported_at: None,
             is_urgent: true,
             wants_holdings: false,
@@ -360,6 +362,7 @@
     pub fn report(&mut self, now: clock::Millis) -> SharesRequest {
         self.expire(now);
         self.reported_at = Some(now);
+        let first_reported_at = *self.first_reported_at.get_or_insert(now);
         self.is_urgent = false;
         self.last_report += 1;
         let has_lease = self.lease_end.is_some();
@@ -390,6 +393,7 @@
             holdings,
             demands,
             returned,
+            up_for: now.since(first_reported_at),
         }
     }
 
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -135,6 +135,32 @@
     );
 }
 
+/// Guards against a new leader that waits for leases of processes which have ended: after a power
+/// loss of all coordinators no request of a limited account was served for 7.5 s. Nothing may exceed
+/// the limit because of it.
+#[test]
+fn requests_are_served_soon_after_all_coordinators_restart() {
+    let limits = sim::limits(100.0, 100.0);
+    let schedule = sim::schedule(7, 20_000, 116, |_, _| 62.5 / 116.0);
+    let mut world = sim::World::new(7, 6, 116, &limits);
+    world.run(&schedule, 20_000, |world| match world.now {
+        8_000 => {
+            world.leader = None;
+            world.nodes.iter_mut().for_each(|node| node.is_down = true);
+        }
+        10_000 => {
+            (0..6).for_each(|node| world.restart(node));
+            world.elect(2, &world.current_limits());
+        }
+        _ => {}
+    });
+    let outcome = world.judge.outcome;
+    println!("restart of all: {outcome:?}");
+    assert_eq!(outcome.over_bound, 0, "{outcome:?}");
+    // 2 s without coordinators, and 2 s until all are known and have shares.
+    assert!(outcome.admitted as f64 >= 0.95 * 16.0 * 62.5, "{outcome:?}");
+}
+
 /// Guards against a burst of each restarted coordinator, and against processes without tokens
 /// because theirs is away.
 #[test]
--- a/crates/quota/tests/sim/mod.rs
+++ b/crates/quota/tests/sim/mod.rs
@@ -269,6 +269,8 @@
         let mut leader = division::Division::new(self.millis(), term, SPARE, divided);
         leader.set_limits(self.millis(), &self.limits);
         leader.expect(self.nodes.len());
+        let addresses = 0..self.nodes.len() as u16;
+        leader.set_members(addresses.map(|n| net::SocketAddr::from(([127, 0, 0, 1], n))));
         let former = self.leader.replace(leader);
         let until = self.now + division::CONFIRMATION_MAX.0;
         self.former = former.map(|former| (former, until));
