registry: servers that the order of starts overrules return on evidence

A server whose clock was set back starts again under its id with a lower born; its heartbeats and its draining were acknowledged and ignored for good, and counted as heartbeats of the recorded start, so that it never expired. A server at whose address another id was announced once was gone for good.

An announcement that the registry overrules is now a claim, which every coordinator passes to the leader. It is proven by 5 announcements in a row with increasing seq over 10 s in which no rival (the recorded start, or another id at the address) announced itself to any coordinator. A delayed heartbeat arrives within seconds, and after an address was reused the present server goes on announcing itself, so late heartbeats of the former one prove nothing. A server that said itself that it leaves, or that a rollout retired, has no claim. A draining under a lower born at the recorded address is accepted after 2 s of silence of the recorded start, and answered with 503 until then, so that it is sent again; the recorded start undoes it with its next heartbeat.

Ruled out: the time of day, which is what jumps; a decision at each coordinator, since a rival may announce itself to another one; the lower born at once, since a heartbeat delayed for seconds would undo a restart.

Stored: a new last field Record::replaced_by, not encoded without a value; the command Readmit; the call registry-claim. Existing encodings are as before.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use nutmegdale_control::groups;
 use nutmegdale_quota::message;
-use nutmegdale_registry::{follow, rollout, state};
+use nutmegdale_registry::{follow, rollout, server as registry_server, state};
 use nutmegdale_replica::handle;
 use nutmegdale_rollout::{evidence, reports};
 use nutmegdale_rpc::server;
@@ -21,6 +21,9 @@
 /// decode.
 pub(crate) const GOSSIP_CONFIRMED: &str = "gossip-confirmed";
 
+/// Name of the call that passes an announcement which the registry overrules to the leader.
+pub(crate) const CLAIM: &str = "registry-claim";
+
 /// Encoded [`state::Command`], forwarded to the leader.
 #[serde_with::serde_as]
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -165,6 +168,11 @@
                     operations.propose_local(cmd.body).await,
                 ))
             })),
+            CLAIM => Some(Box::pin(async move {
+                let announcement: registry_server::Announcement = server::decode(&body)?;
+                let answer = operations.weigh_claim(&announcement).await;
+                server::encode_compact(&Answer::from_result(answer))
+            })),
             READ => Some(Box::pin(async move {
                 let unavailable = |err: handle::ProposeError| {
                     (hyper::StatusCode::SERVICE_UNAVAILABLE, err.to_string())
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`entries`] is the soft-state table of live entry processes, which
 //! [`gossip`] merges between coordinators; [`repair`] decides which member of the group to admit,
 //! promote, demote or remove; [`rollouts`] takes orders of rollouts and decides on their stages;
+//! `claims` weighs the evidence for servers that the registry overrules;
 //! `quota` holds the coordinator's shares of the limits of accounts; `rounds` carries the repair out
 //! and `exchange` sends the gossip; [`service`]
 //! starts the coordinator. A front end listens to operators and
@@ -13,6 +14,7 @@
 //! [docs/platform.md](../../../docs/platform.md).
 
 mod calls;
+mod claims;
 pub mod confirmation;
 pub mod entries;
 mod exchange;
--- a/crates/coordinator/src/operations.rs
+++ b/crates/coordinator/src/operations.rs
@@ -4,7 +4,7 @@
 use displaydoc::Display;
 use nutmegdale_base::clock;
 use nutmegdale_consensus::{status, types};
-use nutmegdale_registry::{config, document, entry_list, follow, server, state};
+use nutmegdale_registry::{claim, config, document, entry_list, follow, server, state};
 use nutmegdale_replica::handle;
 use nutmegdale_rpc::client;
 use nutmegdale_telemetry::limiter;
@@ -73,6 +73,8 @@
     pub(crate) announced: collections::BTreeSet<String>,
     /// Time of the last announcement of each server to any coordinator.
     pub(crate) last_announced: collections::HashMap<String, clock::Millis>,
+    /// Servers that the registry overrules, as this replica observes them while it leads.
+    pub(crate) claims: claim::Claims,
 }
 
 /// Interface of a coordinator for front ends, independent of the encoding of messages.
@@ -200,10 +202,18 @@
             self.log_rejected(&announcement, &err);
             return Err(Error::Implausible(err));
         }
-        self.record_announcement(&announcement.id);
         // A replica that has just started has applied nothing until a leader sends its commit
         // index; until then every announcement would look like a change.
         self.wait_for_leader().await;
+        // An announcement of another start is no sign that the recorded one is alive.
+        if self
+            .shared
+            .read(|state| state.claim(&announcement))
+            .is_some()
+        {
+            return self.submit_claim(announcement).await;
+        }
+        self.record_announcement(&announcement.id);
         if !self.shared.changes_record(&announcement) {
             return Ok(());
         }
--- a/crates/coordinator/tests/announcements.rs
+++ b/crates/coordinator/tests/announcements.rs
@@ -1,8 +1,10 @@
 //! Tests of announcements that no working server sends.
 
 use nutmegdale_base::clock;
+use nutmegdale_consensus::status;
 use nutmegdale_coordinator::operations;
 use nutmegdale_registry::{feed, server};
+use nutmegdale_testkit::cluster;
 
 mod group;
 
@@ -69,3 +71,49 @@
     let is_leaving = |change: &feed::Change| *change == feed::Change::Server(leaving.clone());
     assert!(whole.changes.iter().any(is_leaving), "{:?}", whole.changes);
 }
+
+/// Guards against a server whose clock was set back and that still gets requests after it drained,
+/// whichever coordinator it reaches.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_server_with_a_clock_set_back_is_recorded() {
+    let group = group::Group::start(3).await;
+    let real = announcement("real", 1_777_000_000_000, 9);
+    let leaving = server::Announcement {
+        state: server::State::Draining,
+        ..announcement("real", real.born - 1_000, 1)
+    };
+    let first = &group.members[0].operations;
+    cluster::eventually(group::WAIT, "the announcement", || async {
+        first.announce(real.clone()).await.ok()
+    })
+    .await;
+    for member in &group.members {
+        cluster::eventually(group::WAIT, "the record", || async {
+            let changes = member.sync(0).await.changes;
+            let is_real = |change: &feed::Change| *change == feed::Change::Server(real.clone());
+            changes.iter().any(is_real).then_some(())
+        })
+        .await;
+    }
+    let follower = group
+        .members
+        .iter()
+        .find(|m| m.role() != status::Role::Leader);
+    let follower = follower.expect("one member leads");
+    let refused = follower.operations.announce(leaving.clone()).await;
+    assert_eq!(
+        refused,
+        Err(operations::Error::Unknown),
+        "it may be delayed"
+    );
+    cluster::eventually(group::WAIT, "the notice of the server", || async {
+        follower.operations.announce(leaving.clone()).await.ok()
+    })
+    .await;
+    let is_leaving = |change: &feed::Change| *change == feed::Change::Server(leaving.clone());
+    cluster::eventually(group::WAIT, "the changed record", || async {
+        let changes = follower.sync(0).await.changes;
+        changes.iter().any(is_leaving).then_some(())
+    })
+    .await;
+}
--- a/crates/registry/src/rollout.rs
+++ b/crates/registry/src/rollout.rs
@@ -143,10 +143,12 @@
         let index = self.index;
         for record in self.servers.values_mut() {
             let server = &mut record.announcement;
-            let is_retired = server.service == advance.service
-                && (server.version == rollout.target) == is_target
-                && server.state != server::State::Gone;
-            if is_retired {
+            let is_of_version = server.service == advance.service
+                && (server.version == rollout.target) == is_target;
+            if is_of_version {
+                record.replaced_by = None;
+            }
+            if is_of_version && server.state != server::State::Gone {
                 server.state = server::State::Gone;
                 record.index = index;
                 changes.push(feed::Change::Server(record.announcement.clone()));
--- a/crates/registry/src/server.rs
+++ b/crates/registry/src/server.rs
@@ -126,6 +126,10 @@
     pub announcement: Announcement,
     /// Index of the command that last changed the record.
     pub index: u64,
+    /// Id of the server that was announced with the same address and thereby retired this one,
+    /// which has not itself said that it leaves.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub replaced_by: Option<String>,
 }
 
 /// Time by which an announced cold time must exceed the expected one to count as a change;
--- a/crates/registry/src/state.rs
+++ b/crates/registry/src/state.rs
@@ -4,6 +4,7 @@
 //! the same document; a server that has begun to leave does not return to service before it
 //! restarts.
 
+use crate::claim;
 use crate::document;
 use crate::feed;
 use crate::rollout;
@@ -38,6 +39,9 @@
     StartRollout(rollout::Start),
     /// Moves a rollout on.
     AdvanceRollout(rollout::Advance),
+    /// Records the announcement of a server that the order of starts and addresses overrules, after
+    /// evidence that it is alive.
+    Readmit(claim::Claim),
 }
 
 /// Answer to a command.
@@ -111,6 +115,7 @@
             Command::Forget(incarnations) => self.forget(&incarnations, changes),
             Command::StartRollout(start) => return self.start_rollout(start, changes),
             Command::AdvanceRollout(advance) => self.advance_rollout(&advance, changes),
+            Command::Readmit(claim) => self.readmit(claim, changes),
         }
         Reply::Done
     }
@@ -160,17 +165,22 @@
         if self.has_newer_at_address(&new) {
             return;
         }
+        self.record(new, changes);
+    }
+
+    pub(crate) fn record(&mut self, new: server::Announcement, changes: &mut Vec<feed::Change>) {
         self.retire_others_at_address(&new, changes);
         let record = server::Record {
             announcement: new.clone(),
             index: self.index,
+            replaced_by: None,
         };
         self.servers.insert(new.id.clone(), record);
         changes.push(feed::Change::Server(new));
     }
 
     /// Returns whether a server that started later is registered with the address of `new`.
-    fn has_newer_at_address(&self, new: &server::Announcement) -> bool {
+    pub(crate) fn has_newer_at_address(&self, new: &server::Announcement) -> bool {
         let mut records = self.servers.values().map(|record| &record.announcement);
         records.any(|a| a.address == new.address && a.id != new.id && a.born > new.born)
     }
@@ -184,6 +194,9 @@
             let old = &mut record.announcement;
             let is_replaced = old.address == new.address && old.id != new.id;
             if is_replaced && old.state != server::State::Gone {
+                if old.state == server::State::Ready {
+                    record.replaced_by = Some(new.id.clone());
+                }
                 old.state = server::State::Gone;
                 record.index = self.index;
                 changes.push(feed::Change::Server(record.announcement.clone()));
@@ -192,9 +205,11 @@
     }
 
     fn leave(&mut self, id: &str, changes: &mut Vec<feed::Change>) {
-        if let Some(record) = self.servers.get_mut(id)
-            && record.announcement.state != server::State::Gone
-        {
+        let Some(record) = self.servers.get_mut(id) else {
+            return;
+        };
+        record.replaced_by = None;
+        if record.announcement.state != server::State::Gone {
             record.announcement.state = server::State::Gone;
             record.index = self.index;
             changes.push(feed::Change::Server(record.announcement.clone()));
