coordinator: replacements of replicas do not wait for the next round

A group of three lost its quorum for good when a second disk was lost 4.3 s after a coordinator had come back with an empty one. Until its promotion the group has two voters and needs both, so every wait before it counts. The leader looked for steps of a replacement once in 500 ms only, and for a learner that is behind by the newest commit at that moment, again 500 ms later. It now looks every 100 ms whether a replica can be admitted or promoted, and starts a round then. The order of the steps is unchanged.

Ruled out: keeping the vote of the lost disk until the promotion, since three voters of which one is gone need the same two.

--- a/crates/coordinator/src/repair.rs
+++ b/crates/coordinator/src/repair.rs
@@ -128,6 +128,13 @@
     }
 }
 
+/// Returns whether a replica can be admitted or promoted at once. Until it has a vote, the loss of one
+/// more voter may leave the group without a quorum, so neither waits for the next round.
+pub fn is_replacement_due(status: &status::Status, peers: &[PeerStatus]) -> bool {
+    status.role == status::Role::Leader
+        && (promotion(status).is_some() || admission(status, peers).is_some())
+}
+
 /// Returns the blank replica in whose favour `change` removes the former member at its address.
 ///
 /// What the replica said of itself may have been held up on its way while the address changed hands,
--- a/crates/coordinator/src/rounds.rs
+++ b/crates/coordinator/src/rounds.rs
@@ -16,6 +16,8 @@
 /// Interval of the rounds while a leader is known and the registry is not confirmed. Entry processes
 /// find no current coordinator but the leader in this time, as after a start or an election.
 const UNCONFIRMED_ROUND_MS: u64 = 50;
+/// Interval at which a leader looks whether a replica can be admitted or promoted.
+const REPAIR_STEP_MS: u64 = 100;
 /// Every this many rounds, gossip goes to all coordinators instead of the leader alone, so that it
 /// also reaches processes that the leader does not know and those that were removed.
 const ROUNDS_PER_BROADCAST: u64 = 10;
@@ -68,9 +70,15 @@
     /// Waits until the next round is due.
     async fn wait_for_next(&self, is_confirmed: bool) {
         let round = time::Duration::from_millis(ROUND_MS);
-        if is_confirmed {
+        let is_leader = self.operations.handle.status().role == status::Role::Leader;
+        if is_confirmed && !is_leader {
             return tokio::time::sleep(round).await;
         }
+        if is_confirmed {
+            // After the end of the time, the next round is due anyway.
+            drop(tokio::time::timeout(round, self.replacement_due()).await);
+            return;
+        }
         let mut status = self.operations.handle.subscribe();
         let leader_known = status.wait_for(|status| status.leader.is_some());
         if tokio::time::timeout(round, leader_known).await.is_ok() {
@@ -78,6 +86,19 @@
         }
     }
 
+    /// Waits until a replacement can go on, for one step of repairs at least, so that a change that
+    /// is refused is not requested without a pause.
+    async fn replacement_due(&self) {
+        loop {
+            tokio::time::sleep(time::Duration::from_millis(REPAIR_STEP_MS)).await;
+            let now = self.operations.clock.now();
+            let peers = self.operations.soft_state().peers.statuses(now);
+            if repair::is_replacement_due(&self.operations.handle.status(), &peers) {
+                return;
+            }
+        }
+    }
+
     /// Expires entry processes and coordinators, and updates the gauges.
     fn update_metrics(&self, status: &status::Status, now: clock::Millis) {
         let metrics = &self.operations.metrics;
--- a/crates/coordinator/tests/repair.rs
+++ b/crates/coordinator/tests/repair.rs
@@ -153,6 +153,27 @@
     assert_eq!(change, Some(MemberChange::Remove(id(3))));
 }
 
+/// Guards against a replacement that waits for the next round, while the loss of one more voter would
+/// leave the group without a quorum, and against rounds without a pause while there is none.
+#[test]
+fn replacement_that_can_go_on_does_not_wait() {
+    let whole = status(&[1, 2, 3], &[2]);
+    assert!(!repair::is_replacement_due(&whole, &[]));
+    assert!(repair::is_replacement_due(&whole, &[blank(22, 2)]));
+    let mut learner = status(&[1, 2, 3], &[]);
+    learner.members.demote(id(3));
+    assert!(repair::is_replacement_due(&learner, &[]));
+    let mut behind = learner.clone();
+    behind
+        .progress
+        .iter_mut()
+        .for_each(|p| p.is_caught_up = false);
+    assert!(!repair::is_replacement_due(&behind, &[]));
+    let mut follower = learner;
+    follower.role = status::Role::Follower;
+    assert!(!repair::is_replacement_due(&follower, &[blank(22, 2)]));
+}
+
 /// Guards against membership changes by a replica that does not lead, and against admitting a
 /// process whose last gossip is old.
 #[test]
