--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -36,6 +36,10 @@
     #[argh(option, default = "9464")]
     metrics_port: u16,
 
+    /// send the surplus of a zone that is short of capacity to other zones; only with --platform
+    #[argh(switch)]
+    locality: bool,
+
     /// settings file (INI); not with --platform
     #[argh(positional)]
     settings: Option<path::PathBuf>,
@@ -44,7 +48,11 @@
 fn main() -> process::ExitCode {
     let args: Args = argh::from_env();
     if args.platform {
-        return exit_code(nutmegdale_platform::run::run(args.metrics_port));
+        let options = nutmegdale_platform::run::Options {
+            metrics_port: args.metrics_port,
+            has_locality: args.locality,
+        };
+        return exit_code(nutmegdale_platform::run::run(options));
     }
     let Some(path) = &args.settings else {
         eprintln!("nutmegdale: a settings file is required");
