--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,16 +1,17 @@
 //! Gateway: forwards callers' requests to backend servers and returns the responses.
 //!
-//! The path of a request reads one immutable [`table::Table`], published by an atomic pointer swap;
-//! [`follow`] keeps it in sync with the registry, through the coordinator that [`failover`] chooses.
-//! [`proxy`] handles a request from its head to its
-//! outcome; [`caller`] identifies whose request it is. `exchange` makes its attempts, including retries and hedges; `hedge_timer` decides when
-//! a hedge is due. [`picker`] applies the decisions of `nutmegdale-dispatch` to pick a server after
-//! the health checks of [`probe`], and [`precedence`] keeps slots free for urgent requests. Only [`attempt`] writes requests to servers, over connections
-//! from [`pool`]; [`buffer`] limits the memory of buffered bodies; `in_flight` records what each attempt tells of its server, and [`server_traffic`]
-//! counts bytes. [`quota`] admits requests within the limits of their accounts, and [`rollouts`]
-//! divides requests between two versions of a service. [`directory`] selects the addresses to which callers connect. Header names of a
-//! front end are known only to its [`dialect::Dialect`]. See
-//! [docs/platform.md](../../../docs/platform.md).
+//! The path of a request reads one immutable [`table::Table`], published by an atomic pointer
+//! swap; [`follow`] keeps it in sync with the registry, through the coordinator that [`failover`]
+//! chooses. [`proxy`] handles a request from its head to its outcome; [`caller`] identifies whose
+//! request it is. `exchange` makes its attempts, including retries and hedges; `hedge_timer`
+//! decides when a hedge is due. [`picker`] applies the decisions of `nutmegdale-dispatch` to pick
+//! a server after the health checks of [`probe`], and [`precedence`] keeps slots free for urgent
+//! requests. Only [`attempt`] writes requests to servers, over connections from [`pool`];
+//! [`buffer`] limits the memory of buffered bodies; `in_flight` records what each attempt tells
+//! of its server, and [`server_traffic`] counts bytes. [`quota`] admits requests within the
+//! limits of their accounts, and [`rollouts`] divides requests between two versions of a service.
+//! [`directory`] selects the addresses to which callers connect. Header names of a front end are
+//! known only to its [`dialect::Dialect`]. See [docs/platform.md](../../../docs/platform.md).
 
 pub mod attempt;
 pub mod backend;
