gateway: one reading of the age of the routing table's evidence

The age was computed in two places beside Shared::confirmation_age, which read the time with a weaker ordering than Shared::confirmed_at. It calls confirmed_at now, and the refusal of a caller calls it. Format, clippy of the crate and its tests: clean, run on this change only; the whole script did not run.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -176,7 +176,7 @@
 /// Returns the response to a caller that is not identified.
 pub(crate) fn refuse(call: &mut call::Call<'_>, refusal: identify::Refusal) -> call::FinalResponse {
     let monitor = &call.shared.callers;
-    let age = call.shared.clock.now().since(call.shared.confirmed_at());
+    let age = call.shared.confirmation_age();
     let (name, counter) = match refusal {
         identify::Refusal::UnknownKey => ("unknown-key", &monitor.unknown_key),
         identify::Refusal::StaleCopy => ("stale-copy", &monitor.stale_copy),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -169,7 +169,7 @@
 
     /// Returns how long ago every change accepted until then was in the routing table.
     pub fn confirmation_age(&self) -> clock::Millis {
-        let confirmed_at = clock::Millis(self.confirmed_at_ms.load(atomic::Ordering::Relaxed));
+        let confirmed_at = self.confirmed_at();
         self.clock.now().since(confirmed_at)
     }
 
