--- a/review/tools-2/cluster.rs
+++ b/review/tools-2/cluster.rs
@@ -118,6 +118,35 @@
             .spawn()
     }
 
+    /// Starts the control process of a machine whose other process runs.
+    pub fn start_control(&mut self, n: usize, is_bootstrap: bool) -> Result<(), String> {
+        let child = self.spawn(n, "control", is_bootstrap);
+        let child = child.map_err(|err| format!("{PROGRAM}: {err}"))?;
+        self.machines[n].processes.insert(0, child);
+        Ok(())
+    }
+
+    /// Kills the control process of a machine.
+    pub fn kill_control(&mut self, n: usize) {
+        let mut child = self.machines[n].processes.remove(0);
+        // Fails only if the process has ended already.
+        drop(child.kill());
+        drop(child.wait());
+    }
+
+    /// Returns the memory that the control process of a machine uses, in bytes; 0 if it is down.
+    pub fn control_memory(&self, n: usize) -> usize {
+        let processes = &self.machines[n].processes;
+        let Some(child) = processes.first().filter(|_| processes.len() == 2) else {
+            return 0;
+        };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
+        kilobytes.map_or(0, |kilobytes: usize| kilobytes * 1024)
+    }
+
     /// Kills the processes of a machine, as a loss of power does.
     pub fn kill(&mut self, n: usize) {
         for mut child in self.machines[n].processes.drain(..) {
--- a/review/tools-2/main.rs
+++ b/review/tools-2/main.rs
@@ -10,6 +10,7 @@
 mod first_start;
 mod http;
 mod invalid_config;
+mod memory;
 mod raised_limit;
 mod record;
 mod server;
@@ -31,6 +32,7 @@
         "first-start" => first_start::run(record, has_trouble),
         "upload" => upload::run(record, has_trouble),
         "invalid-config" => invalid_config::run(record, has_trouble),
+        "memory" => memory::run(record, has_trouble),
         "raised-limit" => raised_limit::run(record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     }
