--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,5 @@
 # disruption out.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
+[ -x target/review-2/review-2 ] && [ -x target/release/nutmegdale ] || exit 2
 TROUBLE="${TROUBLE:-1}" exec target/review-2/review-2 raised-limit "$folder/record.txt"
