platform, gateway: rate limits that servers name are decoded, logged and counted

Neither logs nor metrics could tell whether an entry process read a server's rate limit, applied it alone, or lost it. The header is decoded once in platform/; each change of a server's limit is a log line, and there are counters of changes, of unreadable values and of sends to limited servers, and a gauge of limited servers. No request is handled differently yet.

A limit is a decimal number of requests a second. Of several in one head the lowest counts; a value that is no number changes nothing.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,7 +4,7 @@
 //! held in atomics or behind short locks. [`signal`] holds the load signal of one server and ages
 //! it, [`health`] ejects failing servers, [`availability`] keeps away from servers that ask for
 //! it, [`connects`] limits the connections that health checks open, [`cold`] paces requests to
-//! servers that warm up, [`placement`] predicts the latency of each candidate server and ranks
+//! servers that warm up, [`server_limit`] holds the limits that servers name, [`placement`] predicts the latency of each candidate server and ranks
 //! them, [`estimate`] learns the cost of a route's requests from responses, [`hedge`] decides
 //! when a hedged request is due, [`locality`] how many requests leave the zone, [`budget`] limits
 //! retries and hedges, [`split`] divides a route's requests among services, [`pressure`] measures
@@ -28,6 +28,7 @@
 pub mod precedence;
 pub mod pressure;
 pub mod return_time;
+pub mod server_limit;
 pub mod shedding;
 pub mod signal;
 pub mod split;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -151,6 +151,9 @@
         metrics::increment(&shared.rollouts.canaries);
     }
     metrics::increment(&shared.metrics.sends);
+    if attempt.backend.limit.get().is_some() {
+        metrics::increment(&shared.metrics.sends_limited);
+    }
     let round_trip = round_trip(shared, &mut in_flight, connection, attempt, time_left);
     match tokio::time::timeout(duration(time_left), round_trip).await {
         Ok(result) => result,
@@ -273,6 +276,7 @@
             return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
         }
         shared.record_availability(&self.backend, &metadata);
+        shared.record_limit(&self.backend, metadata.limit);
         if metadata.is_not_run {
             in_flight.record_refusal(&metadata);
             if !self.progress.is_complete() {
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -3,7 +3,7 @@
 use crate::{pool, precedence as priorities, rollouts};
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{
-    availability, cold, connects, health, placement, precedence, shedding, signal,
+    availability, cold, connects, health, placement, precedence, server_limit, shedding, signal,
 };
 use nutmegdale_registry::server;
 use std::sync;
@@ -74,6 +74,8 @@
     pub streak: shedding::Streak,
     /// Rate limiter while the server is cold.
     pub pacer: cold::Pacer,
+    /// Rate limit that the server names.
+    pub limit: server_limit::Current,
     /// Connection pool.
     pub pool: pool::Pool,
     /// Pause in new connections for health checks.
@@ -117,6 +119,7 @@
             signal: signal::Signal::default(),
             health: health::Health::default(),
             pacer: cold::Pacer::default(),
+            limit: server_limit::Current::default(),
             connect_hold: connects::Hold::default(),
             probe: SharedProbe::default(),
             is_open: atomic::AtomicBool::new(false),
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -2,7 +2,7 @@
 
 use crate::{backend, hedge_timer, picker, precedence};
 use nutmegdale_base::{class, clock, outcome};
-use nutmegdale_dispatch::{health, locality, placement};
+use nutmegdale_dispatch::{health, locality, placement, server_limit};
 use nutmegdale_telemetry::limiter;
 use std::fmt::Write;
 
@@ -209,6 +209,27 @@
         }
     }
 
+    /// Writes the line of a server whose rate limit changed, unless the rate limit of the log
+    /// suppresses it. A rate is written as requests per second; -1 means that there is no limit.
+    pub fn write_limit(
+        &self,
+        now: clock::Millis,
+        backend: &backend::Backend,
+        before: Option<server_limit::Rate>,
+        limit: Option<server_limit::Rate>,
+    ) {
+        let per_s =
+            |limit: Option<server_limit::Rate>| limit.map_or(-1.0, server_limit::Rate::per_s);
+        if let Some(suppressed) = self.abnormal.admit(now) {
+            slog::info!(self.log, "server limit changed";
+                "server" => backend.id(),
+                "service" => &backend.announcement.service,
+                "per_s" => per_s(limit),
+                "before_per_s" => per_s(before),
+                "suppressed" => suppressed);
+        }
+    }
+
     /// Writes the line of a server that is ejected for `ejected_for`, unless the rate limit
     /// suppresses it.
     pub fn write_ejection(
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use hyper::header;
 use nutmegdale_accounts::key;
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::signal;
+use nutmegdale_dispatch::{server_limit, signal};
 
 /// Metadata from the head of a request.
 #[derive(Debug, Clone, Copy, Default)]
@@ -33,6 +33,8 @@
     pub is_leaving: bool,
     /// Time for which the server wants no further requests.
     pub backoff: Option<clock::Millis>,
+    /// Limit of the request rate that the server names.
+    pub limit: server_limit::Stated,
     /// Identifier of the server.
     pub server_id: Option<&'a str>,
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,12 @@
     pub servers_leaving: atomic::AtomicU64,
     /// Backoffs that servers asked for.
     pub backoffs: atomic::AtomicU64,
+    /// Changes of the rate limits that servers name.
+    pub limits_changed: atomic::AtomicU64,
+    /// Responses with a rate limit that cannot be read.
+    pub limits_unreadable: atomic::AtomicU64,
+    /// Sends to servers that name a rate limit.
+    pub sends_limited: atomic::AtomicU64,
     /// Pipelined requests that were started while an earlier one of their connection was unfinished.
     pub pipelined: atomic::AtomicU64,
     /// Pipelined requests that were started early and dropped, since their connection ended.
@@ -137,6 +143,21 @@
                 "Times that a server asked for no requests for a while.",
                 &self.backoffs,
             ),
+            counter(
+                "nutmegdale_server_limits_changed_total",
+                "Changes of the rate limits that servers name.",
+                &self.limits_changed,
+            ),
+            counter(
+                "nutmegdale_server_limits_unreadable_total",
+                "Responses with a rate limit that cannot be read.",
+                &self.limits_unreadable,
+            ),
+            counter(
+                "nutmegdale_sends_limited_total",
+                "Sends to servers that name a rate limit.",
+                &self.sends_limited,
+            ),
             counter(
                 "nutmegdale_pipelined_total",
                 "Requests that were started while an earlier one of their connection was unfinished.",
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,7 +8,7 @@
 use hyper::header;
 use nutmegdale_admission::bucket;
 use nutmegdale_base::{clock, rng};
-use nutmegdale_dispatch::{connects, health};
+use nutmegdale_dispatch::{connects, health, server_limit};
 use nutmegdale_quota::gate;
 use nutmegdale_registry::config;
 use nutmegdale_rpc::client;
@@ -194,6 +194,12 @@
                 kind: telemetry::Kind::Counter,
                 value: self.buffer_budget.exhausted_count(),
             },
+            telemetry::Sample {
+                name: "nutmegdale_limited_servers",
+                help: "Servers that name a rate limit.",
+                kind: telemetry::Kind::Gauge,
+                value: self.limited_servers_count(),
+            },
         ];
         if self.settings.features.accounts.is_some() || self.table.load().accounts.is_some() {
             samples.extend(self.callers.samples());
@@ -213,6 +219,12 @@
         .concat()
     }
 
+    fn limited_servers_count(&self) -> u64 {
+        let table = self.table.load();
+        let limited = table.backends().filter(|b| b.limit.get().is_some());
+        limited.count() as u64
+    }
+
     /// Waits up to `limit` for the first configuration.
     pub async fn wait_configured(&self, limit: clock::Millis) {
         let mut is_configured = self.is_configured.subscribe();
@@ -300,6 +312,27 @@
     }
 }
 
+impl Shared {
+    /// Records what a response of the server says about its rate limit; an unreadable limit changes
+    /// nothing.
+    pub fn record_limit(&self, backend: &backend::Backend, stated: server_limit::Stated) {
+        let limit = match stated {
+            server_limit::Stated::Limit(rate) => Some(rate),
+            server_limit::Stated::Nothing => None,
+            server_limit::Stated::Unreadable => {
+                return metrics::increment(&self.metrics.limits_unreadable);
+            }
+        };
+        let before = backend.limit.get();
+        if limit != before {
+            backend.limit.set(limit);
+            metrics::increment(&self.metrics.limits_changed);
+            let now = self.clock.now();
+            self.decision_log.write_limit(now, backend, before, limit);
+        }
+    }
+}
+
 /// Returns a connection to its pool, unless the response announces that the server closes it.
 pub fn checkin(
     backend: &backend::Backend,
