gossip, dispatch, gateway: entry processes share the rate limits that servers name

Cause: the header was read by nobody. Nothing bounded the rate of one warm server over all entry processes; the mechanism that bounds cold servers knew no other reason. Excluded by the timeline: losses of the leader, configurations in force late, retries or health checks alone.

Change: dispatch::server_rate, formerly dispatch::cold, ranks the entry processes for a server and divides its rate among those ranked first; cold servers and limited ones are two uses of it. The limit is a fact that the processes tell each other in datagrams (crates/gossip, gateway::gossip), so it reaches all of them within 3 s, also without coordinators. The permit is taken when a server is picked and checked again right before the request is written. A server with a due permit is preferred, so that the limit is used and its end is noticed. A request that finds every server at its limit is refused at once with a time to return (server-limit).

Why it works: the senders' intervals add up to the limit, whatever the number of processes, and lists of processes that differ for a while add two requests for each process that joins the senders.

Measured: platform/tests/server_limits failed before (321 requests in 4 s, 14 allowed) and passes, without coordinators and with every server of a service limited too; dispatch/tests/server_limits simulates 1 to 132 processes, gossip/tests/spread 2 to 315.

--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -81,6 +81,8 @@
     Overload = "overload",
     /// Every usable backend server asked for no requests for a while.
     Backoff = "backoff",
+    /// Every usable backend server has reached the rate limit that it names.
+    ServerLimit = "server-limit",
     /// No usable backend server is announced.
     NoServer = "no-server",
     /// No connection to a backend server could be made.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,8 +3,9 @@
 //! The crate does no I/O and reads no clock. State that the threads of an entry process share is
 //! held in atomics or behind short locks. [`signal`] holds the load signal of one server and ages
 //! it, [`health`] ejects failing servers, [`availability`] keeps away from servers that ask for
-//! it, [`connects`] limits the connections that health checks open, [`cold`] paces requests to
-//! servers that warm up, [`server_limit`] holds the limits that servers name, [`placement`] predicts the latency of each candidate server and ranks
+//! it, [`connects`] limits the connections that health checks open, [`server_rate`] divides
+//! the rate of a server that warms up or names a limit among the processes, [`server_limit`] holds
+//! the limits that servers name, [`placement`] predicts the latency of each candidate server and ranks
 //! them, [`estimate`] learns the cost of a route's requests from responses, [`hedge`] decides
 //! when a hedged request is due, [`locality`] how many requests leave the zone, [`budget`] limits
 //! retries and hedges, [`split`] divides a route's requests among services, [`pressure`] measures
@@ -17,7 +18,6 @@
 pub mod admission;
 pub mod availability;
 pub mod budget;
-pub mod cold;
 pub mod connects;
 pub mod demand;
 pub mod estimate;
@@ -29,6 +29,7 @@
 pub mod pressure;
 pub mod return_time;
 pub mod server_limit;
+pub mod server_rate;
 pub mod shedding;
 pub mod signal;
 pub mod split;
--- a/crates/dispatch/tests/bounds.rs
+++ b/crates/dispatch/tests/bounds.rs
@@ -1,9 +1,9 @@
 //! Limits that hold over all processes together: requests to cold servers, and retries.
 
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{budget, cold, health};
+use nutmegdale_dispatch::{budget, health, server_rate};
 
-const COLD: cold::Bound = cold::Bound {
+const COLD: server_rate::ColdBound = server_rate::ColdBound {
     overshoot: 1.5,
     slack: 5.0,
 };
@@ -17,19 +17,23 @@
             let names: Vec<_> = (0..processes).map(|n| format!("entry-{n}")).collect();
             let all: Vec<_> = names
                 .iter()
-                .map(|name| cold::Node::new(name, "a"))
+                .map(|name| server_rate::Node::new(name, "a"))
                 .collect();
-            let server = cold::Node::new("server", "a");
-            let count = COLD.senders_count(rate);
-            let paces: Vec<_> = all
+            let server = server_rate::Node::new("server", "a");
+            let ranks = all
                 .iter()
-                .filter(|own| cold::may_send(own, &all, &server, count))
-                .map(|_| cold::Pacer::default())
+                .map(|own| server_rate::Rank::new(own, &all, &server));
+            let paces: Vec<_> = ranks
+                .filter_map(|rank| COLD.share(rate, &rank))
+                .map(|share| (server_rate::Pacer::default(), share))
                 .collect();
             let mut sent = Vec::new();
             for ms in 0..5_000 {
                 let now = clock::Millis(ms);
-                sent.extend(paces.iter().filter(|pace| pace.take(now)).map(|_| ms));
+                let allowed = paces
+                    .iter()
+                    .filter(|(pacer, share)| pacer.take(now, share, 0));
+                sent.extend(allowed.map(|_| ms));
             }
             let bound = (rate * COLD.overshoot + COLD.slack) as usize;
             for (n, start) in sent.iter().enumerate() {
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -86,6 +86,7 @@
         | Reason::ShuttingDown
         | Reason::Overload
         | Reason::Backoff
+        | Reason::ServerLimit
         | Reason::NoServer
         | Reason::Connect
         | Reason::ServerRefused
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use hyper::{body, header};
 use nutmegdale_accounts::identify;
 use nutmegdale_base::{clock, outcome};
-use nutmegdale_dispatch::{estimate, health, placement, signal};
+use nutmegdale_dispatch::{estimate, health, placement, server_limit, signal};
 use nutmegdale_rpc::listen;
 use std::pin;
 use std::sync;
@@ -61,6 +61,8 @@
     pub deadline: clock::Millis,
     /// Prediction on which the choice of the server is based.
     pub prediction: placement::Prediction,
+    /// Permit of the rate limits of the server.
+    pub permit: backend::Permit,
     /// Servers that it may go to during a rollout.
     pub selection: rollouts::Selection,
     /// Recorder of what it says about the version of its server.
@@ -146,6 +148,15 @@
         );
         return AttemptResult::Refused(refusal);
     }
+    if !attempt.backend.confirm(in_flight.now(), attempt.permit) {
+        state::checkin(
+            &attempt.backend,
+            in_flight.now(),
+            connection,
+            &header::HeaderMap::new(),
+        );
+        return AttemptResult::NotRun(outcome::Reason::ServerLimit, false);
+    }
     in_flight.is_written = true;
     if attempt.selection == rollouts::Selection::Canary {
         metrics::increment(&shared.rollouts.canaries);
@@ -276,7 +287,14 @@
             return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
         }
         shared.record_availability(&self.backend, &metadata);
-        shared.record_limit(&self.backend, metadata.limit);
+        let is_valid = !head.status.is_success()
+            || (metadata.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
+        let observation = server_limit::Observation {
+            stated: metadata.limit,
+            sent_at: in_flight.started,
+            is_success: head.status.is_success() && is_valid,
+        };
+        shared.record_limit(&self.backend, &observation);
         if metadata.is_not_run {
             in_flight.record_refusal(&metadata);
             if !self.progress.is_complete() {
@@ -287,8 +305,6 @@
             }
             return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
         }
-        let is_valid = !head.status.is_success()
-            || (metadata.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
         match payload::Payload::read(incoming, &shared.buffer_budget).await {
             Ok(payload) if is_valid => self.answer(in_flight, connection, head, payload),
             _ => broken(in_flight, health::Failure::Answer),
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,9 +1,11 @@
 //! Runtime state of one incarnation of a backend server.
 
 use crate::{pool, precedence as priorities, rollouts};
+use arc_swap::ArcSwap;
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{
-    availability, cold, connects, health, placement, precedence, server_limit, shedding, signal,
+    availability, connects, health, placement, precedence, server_limit, server_rate, shedding,
+    signal,
 };
 use nutmegdale_registry::server;
 use std::sync;
@@ -49,6 +51,22 @@
     }
 }
 
+/// Place of this process among those that share the rate of a server.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Ranking {
+    /// Rank for the server.
+    pub rank: server_rate::Rank,
+    /// Share in the rate of the server while it is cold; `None` if others send to it then.
+    pub cold_share: Option<server_rate::Share>,
+}
+
+/// Permission of the rate limits of a server to send one request.
+#[derive(Debug, Clone, Copy)]
+pub struct Permit {
+    /// Whether it is a permit of a limit that the server named.
+    has_limit: bool,
+}
+
 /// Runtime state of one incarnation of a server; it is kept when the table is rebuilt.
 #[derive(Debug)]
 pub struct Backend {
@@ -72,10 +90,12 @@
     pub history: sync::Arc<priorities::History>,
     /// Rejections in a row although it had free slots.
     pub streak: shedding::Streak,
-    /// Rate limiter while the server is cold.
-    pub pacer: cold::Pacer,
+    /// Pacer of this process's requests while the server is cold.
+    cold_pacer: server_rate::Pacer,
     /// Rate limit that the server names.
     pub limit: server_limit::Current,
+    /// Pacer of this process's requests while the server names a limit.
+    limit_pacer: server_rate::Pacer,
     /// Connection pool.
     pub pool: pool::Pool,
     /// Pause in new connections for health checks.
@@ -83,8 +103,8 @@
     /// Health check, shared by concurrent requests.
     pub probe: SharedProbe,
     is_open: atomic::AtomicBool,
-    is_warmup_sender: atomic::AtomicBool,
-    /// Digest of the process ranking from which `is_warmup_sender` was computed; 0 before that.
+    ranking: ArcSwap<Ranking>,
+    /// Digest of what `ranking` was computed from; 0 before that.
     ranking_digest: atomic::AtomicU64,
     is_preferred: atomic::AtomicBool,
     cold_until_ms: atomic::AtomicU64,
@@ -118,12 +138,13 @@
             distance,
             signal: signal::Signal::default(),
             health: health::Health::default(),
-            pacer: cold::Pacer::default(),
+            cold_pacer: server_rate::Pacer::default(),
+            limit_pacer: server_rate::Pacer::default(),
             limit: server_limit::Current::default(),
             connect_hold: connects::Hold::default(),
             probe: SharedProbe::default(),
             is_open: atomic::AtomicBool::new(false),
-            is_warmup_sender: atomic::AtomicBool::new(false),
+            ranking: ArcSwap::from_pointee(Ranking::default()),
             ranking_digest: atomic::AtomicU64::new(0),
             is_preferred: atomic::AtomicBool::new(false),
             cold_until_ms: atomic::AtomicU64::new(0),
@@ -173,13 +194,12 @@
         is_news
     }
 
-    /// Sets whether this process is among those that may send to the server while it is cold.
-    /// `digest` identifies the ranked processes; for an unchanged digest `is_sender` is not
-    /// evaluated, since servers and configurations change more often than processes do.
-    pub fn set_warmup_sender(&self, digest: u64, is_sender: impl FnOnce() -> bool) {
+    /// Sets the place of this process among those that share the rate of the server. `digest`
+    /// identifies what the ranking depends on; for an unchanged digest `rank` is not evaluated,
+    /// since servers and configurations change more often than processes do.
+    pub fn set_ranking(&self, digest: u64, rank: impl FnOnce() -> Ranking) {
         if self.ranking_digest.swap(digest, atomic::Ordering::Relaxed) != digest {
-            self.is_warmup_sender
-                .store(is_sender(), atomic::Ordering::Release);
+            self.ranking.store(sync::Arc::new(rank()));
         }
     }
 
@@ -205,16 +225,71 @@
         now.0 < self.cold_until_ms.load(atomic::Ordering::Acquire)
     }
 
-    /// Returns whether the warm-up limit allows a request now.
-    pub fn can_acquire(&self, now: clock::Millis) -> bool {
-        !self.is_cold(now)
-            || (self.is_warmup_sender.load(atomic::Ordering::Acquire) && self.pacer.is_ready(now))
+    /// Returns the time until the rate limits of the server allow this process a request that leaves
+    /// `kept_count` saved ones to others; `None` if only other processes may send to it.
+    pub fn permit_left(&self, now: clock::Millis, kept_count: u32) -> Option<clock::Millis> {
+        let mut left = clock::Millis::ZERO;
+        if self.is_cold(now) {
+            let share = self.ranking.load().cold_share?;
+            left = self.cold_pacer.time_left(now, &share, 0);
+        }
+        if let Some(limit) = self.limit.get() {
+            let share = self.limit_share(limit)?;
+            left = left.max(self.limit_pacer.time_left(now, &share, kept_count));
+        }
+        Some(left)
+    }
+
+    fn limit_share(&self, limit: server_limit::Rate) -> Option<server_rate::Share> {
+        let ranking = self.ranking.load();
+        server_limit::share(limit, &ranking.rank)
+    }
+
+    /// Returns whether the rate limits of the server allow a request now.
+    pub fn can_acquire(&self, now: clock::Millis, kept_count: u32) -> bool {
+        self.permit_left(now, kept_count) == Some(clock::Millis::ZERO)
+    }
+
+    /// Acquires a permit of the rate limits for one request; returns `None` if there was none.
+    pub fn try_acquire(&self, now: clock::Millis, kept_count: u32) -> Option<Permit> {
+        if !self.can_acquire(now, kept_count) {
+            return None;
+        }
+        if self.is_cold(now) {
+            let share = self.ranking.load().cold_share?;
+            self.cold_pacer.take(now, &share, 0).then_some(())?;
+        }
+        let limit = self.limit.get();
+        if let Some(limit) = limit {
+            let share = self.limit_share(limit)?;
+            let is_taken = self.limit_pacer.take(now, &share, kept_count);
+            is_taken.then_some(())?;
+        }
+        Some(Permit {
+            has_limit: limit.is_some(),
+        })
+    }
+
+    /// Returns whether a permit still allows its request. The server may have named a limit since
+    /// the permit was acquired; then the request needs one of the limit.
+    pub fn confirm(&self, now: clock::Millis, permit: Permit) -> bool {
+        match self.limit.get() {
+            Some(limit) if !permit.has_limit => self
+                .limit_share(limit)
+                .is_some_and(|share| self.limit_pacer.take(now, &share, 0)),
+            _ => true,
+        }
     }
 
-    /// Acquires a permit of the warm-up limit for one request; returns whether there was one.
-    pub fn try_acquire(&self, now: clock::Millis) -> bool {
-        !self.is_cold(now)
-            || (self.is_warmup_sender.load(atomic::Ordering::Acquire) && self.pacer.take(now))
+    /// Returns the time until the server takes requests again that it does not take now, as it
+    /// says: a backoff, or its rate limit, of which other processes may have the next permit.
+    pub fn hold_left(&self, now: clock::Millis) -> clock::Millis {
+        let backoff_left = self.availability.backoff_left(now);
+        let Some(limit) = self.limit.get() else {
+            return backoff_left;
+        };
+        let permit_left = self.permit_left(now, 0);
+        backoff_left.max(permit_left.unwrap_or(limit.period()))
     }
 
     /// Returns the view of the server that placement compares.
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -132,6 +132,15 @@
     pub trace: &'a Trace,
 }
 
+/// Change of the rate limit of a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LimitChange<'a> {
+    pub(crate) before: Option<server_limit::Rate>,
+    pub(crate) limit: Option<server_limit::Rate>,
+    /// How it was learned: from a `response` or a `peer`.
+    pub(crate) source: &'a str,
+}
+
 /// Log field with the name of an account; lines of other requests have no such field.
 struct AccountField<'a>(Option<&'a str>);
 
@@ -211,12 +220,11 @@
 
     /// Writes the line of a server whose rate limit changed, unless the rate limit of the log
     /// suppresses it. A rate is written as requests per second; -1 means that there is no limit.
-    pub fn write_limit(
+    pub(crate) fn write_limit(
         &self,
         now: clock::Millis,
         backend: &backend::Backend,
-        before: Option<server_limit::Rate>,
-        limit: Option<server_limit::Rate>,
+        change: LimitChange<'_>,
     ) {
         let per_s =
             |limit: Option<server_limit::Rate>| limit.map_or(-1.0, server_limit::Rate::per_s);
@@ -224,8 +232,9 @@
             slog::info!(self.log, "server limit changed";
                 "server" => backend.id(),
                 "service" => &backend.announcement.service,
-                "per_s" => per_s(limit),
-                "before_per_s" => per_s(before),
+                "per_s" => per_s(change.limit),
+                "before_per_s" => per_s(change.before),
+                "of" => change.source,
                 "suppressed" => suppressed);
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -484,6 +484,7 @@
             is_one_time: !self.route.spec.class.is_idempotent(),
             deadline: call.deadline,
             prediction: picked.prediction,
+            permit: picked.permit,
             selection: picked.selection,
             observer,
         };
@@ -546,11 +547,10 @@
         let service = services.find(|service| service.spec.name == self.service_name);
         let home_regions = &self.home_regions;
         let now = call.shared.clock.now();
-        let backoff_left =
-            service.and_then(|service| picker::backoff_left(service, home_regions, now));
-        match backoff_left {
-            Some(left) => {
-                admission::retry_after_backoff(left, call.time_left(), &mut call.shared.rng())
+        let hold = service.and_then(|service| picker::hold_left(service, home_regions, now));
+        match hold {
+            Some(hold) => {
+                admission::retry_after_backoff(hold.left, call.time_left(), &mut call.shared.rng())
             }
             None if service.is_some_and(|service| service.history.shedding.is_active(now)) => {
                 precedence::SHED_RETRY_MS.min(clock::Millis(call.time_left().0 / 3))
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -201,6 +201,7 @@
             slog::info!(self.shared.log, "coordinator followed"; "coordinator" => %target,
                 "index" => self.copy.index);
             self.followed = Some(target);
+            self.shared.gossip.catch_up();
             let followed = Some(sync::Arc::new(target));
             self.shared.rollouts.followed.store(followed);
         }
--- /dev/null
+++ b/crates/gateway/src/gossip.rs
@@ -0,0 +1,305 @@
+//! Exchanges facts on servers with the other entry processes, in datagrams.
+//!
+//! The decisions are in `nutmegdale_gossip`. A datagram needs no connection, so a peer that is down
+//! or cut off costs one lost datagram and delays nothing; the loss of some is part of the design. See
+//! [docs/design/gossip.md](../../../docs/design/gossip.md).
+
+use crate::{metrics, state, table};
+use nutmegdale_base::{clock, digest};
+use nutmegdale_dispatch::server_limit;
+use nutmegdale_gossip::{message, peers, server_limits, state as facts};
+use nutmegdale_telemetry::metrics as telemetry;
+use sha2::Digest;
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+use tokio::net::UdpSocket;
+
+/// Version of the format of datagrams; those of other versions are ignored.
+const FORMAT: u8 = 1;
+/// Size of the authentication code of a datagram, in bytes.
+const CODE_BYTES: usize = 8;
+/// Largest datagram that is read, in bytes.
+const DATAGRAM_MAX_BYTES: usize = 4_096;
+/// Time for the first configuration, which names the peers, before it is asked for again.
+const CONFIG_WAIT_MS: clock::Millis = clock::Millis(1_000);
+/// Pause after an error of the socket.
+const ERROR_PAUSE_MS: u64 = 100;
+
+/// Facts that this process holds, and what operators see of their exchange.
+#[derive(Debug)]
+pub struct Gossip {
+    state: sync::Mutex<facts::State>,
+    /// Notified when there is news for other processes.
+    news: tokio::sync::Notify,
+    sent: atomic::AtomicU64,
+    sent_bytes: atomic::AtomicU64,
+    received: atomic::AtomicU64,
+    rejected: atomic::AtomicU64,
+}
+
+impl Default for Gossip {
+    fn default() -> Gossip {
+        Gossip::new()
+    }
+}
+
+impl Gossip {
+    /// Creates the state of a process that has just started.
+    pub fn new() -> Gossip {
+        Gossip {
+            state: sync::Mutex::new(facts::State::new()),
+            news: tokio::sync::Notify::new(),
+            sent: atomic::AtomicU64::new(0),
+            sent_bytes: atomic::AtomicU64::new(0),
+            received: atomic::AtomicU64::new(0),
+            rejected: atomic::AtomicU64::new(0),
+        }
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, facts::State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Tells the other processes the limit that a server names, if it is news for them.
+    pub fn tell_limit(
+        &self,
+        now: clock::Millis,
+        server: (&str, u64),
+        limit: Option<server_limit::Rate>,
+    ) {
+        let key = server_limits::key(server.0, server.1);
+        let milli_per_s = limit.map(|rate| rate.milli_per_s);
+        if self.state().observe_limit(now, key, milli_per_s) {
+            self.news.notify_one();
+        }
+    }
+
+    /// Compares the facts with those of several peers, after a time without contact.
+    pub(crate) fn catch_up(&self) {
+        self.state().catch_up();
+        self.news.notify_one();
+    }
+
+    /// Returns the counters of the exchange.
+    pub(crate) fn samples(&self) -> [telemetry::Sample; 5] {
+        let counter = |name, help, value: &atomic::AtomicU64| telemetry::Sample {
+            name,
+            help,
+            kind: telemetry::Kind::Counter,
+            value: value.load(atomic::Ordering::Relaxed),
+        };
+        let limits_count = self.state().limits.len() as u64;
+        [
+            counter(
+                "nutmegdale_gossip_sent_total",
+                "Datagrams to other entry processes.",
+                &self.sent,
+            ),
+            counter(
+                "nutmegdale_gossip_sent_bytes_total",
+                "Bytes of datagrams to other entry processes.",
+                &self.sent_bytes,
+            ),
+            counter(
+                "nutmegdale_gossip_received_total",
+                "Datagrams of other entry processes.",
+                &self.received,
+            ),
+            counter(
+                "nutmegdale_gossip_rejected_total",
+                "Datagrams that were not authentic or could not be decoded.",
+                &self.rejected,
+            ),
+            telemetry::Sample {
+                name: "nutmegdale_gossip_limit_facts",
+                help: "Limits of servers that are remembered, including those that have ended.",
+                kind: telemetry::Kind::Gauge,
+                value: limits_count,
+            },
+        ]
+    }
+}
+
+/// Applies the known limits to servers that have just appeared in a table.
+pub(crate) fn apply_limits(gossip: &Gossip, now: clock::Millis, table: &table::Table) {
+    let state = gossip.state();
+    if state.limits.is_empty() {
+        return;
+    }
+    for backend in table.backends().filter(|b| b.limit.get().is_none()) {
+        let key = server_limits::key(backend.id(), backend.announcement.born);
+        let named = state.limits.get(key);
+        if let Some(milli_per_s) = named.and_then(|named| named.milli_per_s) {
+            backend
+                .limit
+                .set(now, Some(server_limit::Rate { milli_per_s }));
+        }
+    }
+}
+
+/// Applies the limits of the given keys, which have changed or expired, to their servers.
+fn apply_changed(shared: &state::Shared, now: clock::Millis, keys: &[u64]) {
+    if keys.is_empty() {
+        return;
+    }
+    let table = shared.table.load();
+    for backend in table.backends() {
+        let key = server_limits::key(backend.id(), backend.announcement.born);
+        if !keys.contains(&key) {
+            continue;
+        }
+        let named = shared.gossip.state().limits.get(key).copied();
+        let milli_per_s = named.and_then(|named| named.milli_per_s);
+        let limit = milli_per_s.map(|milli_per_s| server_limit::Rate { milli_per_s });
+        shared.set_limit(backend, now, limit, "peer");
+    }
+}
+
+/// Exchanges facts through a socket at `address` until the task is aborted. The other processes are
+/// expected at the same port.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if the address cannot be bound.
+pub async fn run(shared: sync::Arc<state::Shared>, address: net::SocketAddr) -> io::Result<()> {
+    let socket = UdpSocket::bind(address).await?;
+    tokio::join!(
+        receive(&shared, &socket),
+        tell(&shared, &socket, address.port())
+    );
+    Ok(())
+}
+
+/// Receives and merges datagrams of other processes.
+async fn receive(shared: &state::Shared, socket: &UdpSocket) {
+    let token = &shared.settings.cluster_token;
+    let mut buf = vec![0; DATAGRAM_MAX_BYTES];
+    loop {
+        let (len, sender) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                slog::warn!(shared.log, "datagram cannot be received"; "error" => %err);
+                tokio::time::sleep(time::Duration::from_millis(ERROR_PAUSE_MS)).await;
+                continue;
+            }
+        };
+        metrics::increment(&shared.gossip.received);
+        let Some(message) = decode(token, &buf[..len]) else {
+            metrics::increment(&shared.gossip.rejected);
+            continue;
+        };
+        let now = shared.clock.now();
+        let received = shared.gossip.state().receive(now, &message);
+        apply_changed(shared, now, &received.limits);
+        if !received.limits.is_empty() {
+            shared.gossip.news.notify_one();
+        }
+        for reply in &received.replies {
+            send(shared, socket, sender, reply).await;
+        }
+    }
+}
+
+/// Tells other processes the news, and compares the facts with theirs.
+async fn tell(shared: &state::Shared, socket: &UdpSocket, port: u16) {
+    let own_entry = &shared.settings.entry;
+    loop {
+        // Without a configuration no peers are known.
+        if shared.table.load().config_version == 0 {
+            shared.wait_configured(CONFIG_WAIT_MS).await;
+            continue;
+        }
+        let now = shared.clock.now();
+        let expired = shared.gossip.state().expire(now);
+        apply_changed(shared, now, &expired);
+        let outgoing = {
+            let table = shared.table.load();
+            let others = table.entries.iter().filter(|e| e.name != own_entry.name);
+            let peers = others.map(|entry| peers::Peer {
+                address: (entry.address.ip(), port).into(),
+                region: &entry.region,
+            });
+            let peers: Vec<_> = peers.collect();
+            let mut rng = shared.rng();
+            let mut state = shared.gossip.state();
+            state.round(now, &peers, &own_entry.region, &mut rng)
+        };
+        for (peer, message) in &outgoing {
+            send(shared, socket, *peer, message).await;
+        }
+        wait_round(&shared.gossip).await;
+    }
+}
+
+/// Waits until the next round is due.
+async fn wait_round(gossip: &Gossip) {
+    let (is_active, has_news) = {
+        let state = gossip.state();
+        (state.is_active(), state.has_news())
+    };
+    if has_news {
+        let interval = time::Duration::from_millis(facts::NEWS_INTERVAL_MS.0);
+        return tokio::time::sleep(interval).await;
+    }
+    let interval = time::Duration::from_millis(facts::COMPARE_INTERVAL_MS.0);
+    let news = gossip.news.notified();
+    if is_active {
+        // Either end of the wait begins a round.
+        drop(tokio::time::timeout(interval, news).await);
+    } else {
+        news.await;
+    }
+}
+
+async fn send(
+    shared: &state::Shared,
+    socket: &UdpSocket,
+    peer: net::SocketAddr,
+    message: &message::Message,
+) {
+    let Some(datagram) = encode(&shared.settings.cluster_token, message) else {
+        return;
+    };
+    // A datagram that is not sent counts as lost; later ones repeat its facts.
+    if socket.send_to(&datagram, peer).await.is_ok() {
+        metrics::increment(&shared.gossip.sent);
+        let bytes = &shared.gossip.sent_bytes;
+        bytes.fetch_add(datagram.len() as u64, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Returns the authentication code of a message under the cluster token.
+fn code(token: &str, body: &[u8]) -> [u8; CODE_BYTES] {
+    let mut hasher = sha2::Sha256::new();
+    hasher.update((token.len() as u64).to_be_bytes());
+    hasher.update(token.as_bytes());
+    hasher.update(body);
+    let mut code = [0; CODE_BYTES];
+    code.copy_from_slice(&hasher.finalize()[..CODE_BYTES]);
+    code
+}
+
+fn encode(token: &str, message: &message::Message) -> Option<Vec<u8>> {
+    let body = rmp_serde::to_vec(message).ok()?;
+    let mut datagram = Vec::with_capacity(1 + CODE_BYTES + body.len());
+    datagram.push(FORMAT);
+    datagram.extend_from_slice(&code(token, &body));
+    datagram.extend_from_slice(&body);
+    Some(datagram)
+}
+
+fn decode(token: &str, datagram: &[u8]) -> Option<message::Message> {
+    let (format, rest) = datagram.split_first()?;
+    let (stated, body) = rest.split_at_checked(CODE_BYTES)?;
+    // Hashes are compared, so the time of the comparison says nothing about the code.
+    let is_authentic = digest::of(stated) == digest::of(&code(token, body)[..]);
+    if *format != FORMAT || !is_authentic {
+        return None;
+    }
+    rmp_serde::from_slice(body).ok()
+}
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -48,6 +48,8 @@
 pub struct Picked {
     /// Server that granted the permit for one request.
     pub backend: sync::Arc<backend::Backend>,
+    /// Permit of its rate limits.
+    pub permit: backend::Permit,
     /// Prediction on which the choice is based.
     pub prediction: placement::Prediction,
     /// Whether the request was admitted only to refresh an estimate that may be stale.
@@ -221,10 +223,14 @@
     }
     for (backend, prediction) in ranking.best {
         let is_allowed = limits.allows(&backend, &prediction);
-        if is_allowed && backend.accepts(now) && backend.try_acquire(now) {
+        if !is_allowed || !backend.accepts(now) {
+            continue;
+        }
+        if let Some(permit) = backend.try_acquire(now, limits.kept_permits()) {
             backend.health.begin_trial(now);
             return Ok(Picked {
                 leaving: limits.leaving(&backend),
+                permit,
                 backend,
                 prediction,
                 is_trial,
@@ -233,10 +239,10 @@
         }
     }
     let left = query.time_left.to_deadline;
-    let rejection = match backoff_left(service, query.home_regions, now) {
-        Some(backoff_left) => Rejection::new(
-            outcome::Reason::Backoff,
-            admission::retry_after_backoff(backoff_left, left, &mut rng),
+    let rejection = match hold_left(service, query.home_regions, now) {
+        Some(hold) => Rejection::new(
+            hold.reason,
+            admission::retry_after_backoff(hold.left, left, &mut rng),
         ),
         None => Rejection::new(
             outcome::Reason::NoServer,
@@ -249,18 +255,34 @@
     })
 }
 
-/// Returns the time until the first server wants requests again, if all servers that a request may
-/// reach have asked for a backoff.
-pub fn backoff_left(
+/// Hold that all servers have asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct Hold {
+    /// Time until the first server takes requests again.
+    pub left: clock::Millis,
+    /// Why none does now.
+    pub reason: outcome::Reason,
+}
+
+/// Returns the hold of a service, if all servers that a request may reach have asked for one.
+pub fn hold_left(
     service: &table::Service,
     home_regions: &[String],
     now: clock::Millis,
-) -> Option<clock::Millis> {
+) -> Option<Hold> {
     let open = service.backends.iter().filter(|backend| {
         backend.is_open() && (home_regions.is_empty() || home_regions.contains(&backend.region))
     });
-    let left = open.map(|backend| backend.availability.backoff_left(now));
-    left.min().filter(|left| *left > clock::Millis::ZERO)
+    let first = open.min_by_key(|backend| backend.hold_left(now))?;
+    let left = first.hold_left(now);
+    let is_backoff = first.availability.backoff_left(now) == left;
+    (left > clock::Millis::ZERO).then_some(Hold {
+        left,
+        reason: match is_backoff {
+            true => outcome::Reason::Backoff,
+            false => outcome::Reason::ServerLimit,
+        },
+    })
 }
 
 /// Ranks the servers that may receive the request. Ejected servers are considered only if no other
@@ -273,10 +295,11 @@
     limits: &mut precedence::Limits,
 ) -> Ranking {
     let now = shared.clock.now();
+    let kept_permits = limits.kept_permits();
     let is_usable = |backend: &&sync::Arc<backend::Backend>| {
         backend.accepts(now)
             && query.selection.admits(backend.role())
-            && backend.can_acquire(now)
+            && backend.can_acquire(now, kept_permits)
             && (query.home_regions.is_empty() || query.home_regions.contains(&backend.region))
             && !query
                 .tried
--- a/crates/gateway/src/precedence.rs
+++ b/crates/gateway/src/precedence.rs
@@ -7,7 +7,7 @@
 use crate::{backend, picker, state, table};
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{
-    demand, locality, placement, precedence, pressure, return_time, shedding,
+    demand, locality, placement, precedence, pressure, return_time, server_limit, shedding,
 };
 use nutmegdale_registry::config;
 
@@ -140,9 +140,15 @@
         if let Some(view) = &mut self.view {
             view.add(is_in_zone, prediction);
         }
+        // Only servers that allow this process a request now are candidates.
+        let has_permit = backend.limit.get().is_some();
+        let bonus_ms = match has_permit {
+            true => server_limit::bonus_ms(backend.distance, self.target_ms),
+            false => 0.0,
+        };
         placement::Adjustment {
             is_barred: !self.allows(backend, prediction),
-            extra_ms: self.side.extra_ms(is_in_zone, self.target_ms),
+            extra_ms: self.side.extra_ms(is_in_zone, self.target_ms) - bonus_ms,
         }
     }
 
@@ -162,6 +168,11 @@
         self.sample = pressure::Sample::default();
     }
 
+    /// Returns how many saved permits of a server's rate limit the request leaves to more urgent ones.
+    pub(crate) fn kept_permits(&self) -> u32 {
+        u32::from(self.standing.is_some_and(|standing| standing.rank > 0))
+    }
+
     /// Returns whether the request may be sent to a server.
     pub(crate) fn allows(
         &self,
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -5,7 +5,7 @@
 use hyper::header;
 use nutmegdale_admission::bucket;
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{health, placement};
+use nutmegdale_dispatch::{health, placement, server_limit};
 use nutmegdale_rpc::listen;
 use std::sync;
 use std::time;
@@ -215,6 +215,13 @@
         return Err(ProbeError::Failed(health::Failure::Replaced));
     }
     shared.record_availability(backend, &metadata);
+    let observation = server_limit::Observation {
+        stated: metadata.limit,
+        sent_at: now,
+        // Servers name their limits in answers to requests; a health check may lack it.
+        is_success: false,
+    };
+    shared.record_limit(backend, &observation);
     if let Some(report) = metadata.report {
         backend.signal.record_report(now, report, own_in_flight);
     }
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -1,6 +1,6 @@
 //! Runs a gateway, including its graceful shutdown.
 
-use crate::{follow, proxy, rollouts, settings, state, table};
+use crate::{follow, gossip, proxy, rollouts, settings, state, table};
 use nutmegdale_base::clock;
 use nutmegdale_registry::follow as registry;
 use nutmegdale_rpc::listen;
@@ -9,6 +9,7 @@
 use std::sync;
 use std::time;
 use tokio::sync::watch;
+use tokio::task;
 
 /// Interval between sweeps of idle connections.
 const SWEEP_MS: u64 = 1_000;
@@ -64,6 +65,7 @@
         let follower = tokio::spawn(self.follower.run());
         let rollouts = shared.settings.features.rollouts;
         let reporter = rollouts.map(|_| tokio::spawn(rollouts::report(sync::Arc::clone(&shared))));
+        let gossip = spawn_gossip(&shared);
         let sweeper = tokio::spawn(sweep_idle(sync::Arc::clone(&shared)));
         let grace = shared.settings.bounds.grace;
         let (closed_tx, closed_rx) = watch::channel(false);
@@ -77,13 +79,25 @@
         slog::info!(shared.log, "gateway stopped"; "all_requests_ended" => is_clean);
         follower.abort();
         sweeper.abort();
-        if let Some(reporter) = reporter {
-            reporter.abort();
+        for task in [reporter, gossip].into_iter().flatten() {
+            task.abort();
         }
         Ok(())
     }
 }
 
+/// Starts the exchange of facts with other entry processes, if the settings have an address for it.
+/// Without it the process goes on with what it observes itself.
+fn spawn_gossip(shared: &sync::Arc<state::Shared>) -> Option<task::JoinHandle<()>> {
+    let address = shared.settings.gossip_address?;
+    let shared = sync::Arc::clone(shared);
+    Some(tokio::spawn(async move {
+        if let Err(err) = gossip::run(sync::Arc::clone(&shared), address).await {
+            slog::error!(shared.log, "gossip failed"; "address" => %address, "error" => %err);
+        }
+    }))
+}
+
 /// Waits for `stop`, then marks the process as stopping and closes the listener after the drain
 /// delay.
 async fn delay_drain(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,17 +1,21 @@
 //! Settings of a gateway.
 
 use nutmegdale_base::clock;
-use nutmegdale_dispatch::{budget, cold, locality, placement};
+use nutmegdale_dispatch::{budget, locality, placement, server_rate};
 use nutmegdale_quota::gate;
 use nutmegdale_registry::follow;
 use nutmegdale_rollout::bound;
 use std::collections;
+use std::net;
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
 pub struct Settings {
     /// Description of this process for callers and other processes.
     pub entry: follow::Entry,
+    /// Address for datagrams of other entry processes, whose port is the same at all of them;
+    /// `None` if they exchange nothing.
+    pub gossip_address: Option<net::SocketAddr>,
     /// Region of each zone.
     pub regions: collections::BTreeMap<String, String>,
     /// Limits that apply to all processes together.
@@ -55,7 +59,7 @@
     /// Budget of retries and hedges.
     pub retry_budget: budget::Bound,
     /// Limit of the request rate of servers that warm up.
-    pub cold_rate: cold::Bound,
+    pub cold_rate: server_rate::ColdBound,
     /// Maximum number of health checks of one server per second.
     pub probes_per_s: f64,
     /// Maximum duration of a graceful shutdown.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! State that all tasks of a gateway share.
 
 use crate::{
-    backend, buffer, caller, decisions, dialect, metrics, opened, pool, quota, rollouts,
+    backend, buffer, caller, decisions, dialect, gossip, metrics, opened, pool, quota, rollouts,
     server_traffic, settings, table,
 };
 use arc_swap::ArcSwap;
@@ -67,6 +67,8 @@
     pub log: slog::Logger,
     /// State of rollouts that outlives tables.
     pub rollouts: rollouts::State,
+    /// Facts that the entry processes tell each other.
+    pub gossip: gossip::Gossip,
     /// Number that identifies the start of the process.
     pub boot: u64,
     seed: atomic::AtomicU64,
@@ -128,6 +130,7 @@
             decision_log: decisions::DecisionLog::new(dependencies.log.clone()),
             log: dependencies.log,
             rollouts: rollouts::State::default(),
+            gossip: gossip::Gossip::default(),
             boot: dependencies.seed,
             seed: atomic::AtomicU64::new(dependencies.seed),
         }
@@ -148,6 +151,7 @@
     /// wait for the first configuration see both at once.
     pub fn publish_confirmed(&self, table: table::Table, confirmed_at: Option<clock::Millis>) {
         let is_configured = table.config_version > 0;
+        gossip::apply_limits(&self.gossip, self.clock.now(), &table);
         self.table.store(sync::Arc::new(table));
         if let Some(at) = confirmed_at {
             self.record_confirmation(at);
@@ -204,6 +208,7 @@
         if self.settings.features.accounts.is_some() || self.table.load().accounts.is_some() {
             samples.extend(self.callers.samples());
         }
+        samples.extend(self.gossip.samples());
         if self.settings.features.rollouts.is_some() {
             samples.extend(self.rollouts.samples());
         }
@@ -313,23 +318,45 @@
 }
 
 impl Shared {
-    /// Records what a response of the server says about its rate limit; an unreadable limit changes
-    /// nothing.
-    pub fn record_limit(&self, backend: &backend::Backend, stated: server_limit::Stated) {
-        let limit = match stated {
-            server_limit::Stated::Limit(rate) => Some(rate),
-            server_limit::Stated::Nothing => None,
-            server_limit::Stated::Unreadable => {
-                return metrics::increment(&self.metrics.limits_unreadable);
-            }
+    /// Records what a response of the server says about its rate limit, and tells the other
+    /// processes what is news for them. An unreadable limit changes nothing.
+    pub fn record_limit(
+        &self,
+        backend: &backend::Backend,
+        observation: &server_limit::Observation,
+    ) {
+        if observation.stated == server_limit::Stated::Unreadable {
+            metrics::increment(&self.metrics.limits_unreadable);
+        }
+        let Some(limit) = backend.limit.observe(observation) else {
+            return;
         };
-        let before = backend.limit.get();
-        if limit != before {
-            backend.limit.set(limit);
-            metrics::increment(&self.metrics.limits_changed);
-            let now = self.clock.now();
-            self.decision_log.write_limit(now, backend, before, limit);
+        let now = self.clock.now();
+        self.set_limit(backend, now, limit, "response");
+        let server = &backend.announcement;
+        self.gossip
+            .tell_limit(now, (&server.id, server.born), limit);
+    }
+
+    /// Sets the limit of a server, as learned from `source`.
+    pub(crate) fn set_limit(
+        &self,
+        backend: &backend::Backend,
+        now: clock::Millis,
+        limit: Option<server_limit::Rate>,
+        source: &str,
+    ) {
+        if backend.limit.get() == limit {
+            return;
         }
+        let before = backend.limit.set(now, limit);
+        metrics::increment(&self.metrics.limits_changed);
+        let change = decisions::LimitChange {
+            before,
+            limit,
+            source,
+        };
+        self.decision_log.write_limit(now, backend, change);
     }
 }
 
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -4,7 +4,7 @@
 use nutmegdale_accounts::index;
 use nutmegdale_base::{clock, digest};
 use nutmegdale_dispatch::{
-    availability, budget, cold, estimate, placement, precedence as levels, split,
+    availability, budget, estimate, placement, precedence as levels, server_rate, split,
 };
 use nutmegdale_registry::{config, follow, server};
 use std::cell;
@@ -290,7 +290,7 @@
         let history = self.history(&spec.name);
         let own_node = entry_node(&self.settings.entry);
         let bounds = &self.settings.bounds;
-        let senders_count = bounds.cold_rate.senders_count(spec.cold_requests_per_s);
+        let cold_per_s = spec.cold_requests_per_s;
         let connections = spec.connections_max as usize * CONNECTIONS_USED_PERCENT / 100;
         let open_max = u32::try_from(connections / processes.count()).unwrap_or(u32::MAX);
         let is_usable = |backend: &&sync::Arc<backend::Backend>| {
@@ -298,12 +298,16 @@
         };
         let mut backends: Vec<_> = self.backends.values().filter(is_usable).cloned().collect();
         backends.sort_by(|a, b| a.announcement.id.cmp(&b.announcement.id));
-        let ranking_digest = digest::of(&(processes.digest, senders_count)).max(1);
+        let ranking_digest = digest::of(&(processes.digest, cold_per_s.to_bits())).max(1);
         for backend in &backends {
             let announcement = &backend.announcement;
-            backend.set_warmup_sender(ranking_digest, || {
-                let server = cold::Node::new(&announcement.id, &announcement.zone);
-                cold::may_send(&own_node, processes.nodes(), &server, senders_count)
+            backend.set_ranking(ranking_digest, || {
+                let server = server_rate::Node::new(&announcement.id, &announcement.zone);
+                let rank = server_rate::Rank::new(&own_node, processes.nodes(), &server);
+                backend::Ranking {
+                    rank,
+                    cold_share: bounds.cold_rate.share(cold_per_s, &rank),
+                }
             });
             backend.pool.set_open_max(open_max);
         }
@@ -385,7 +389,7 @@
     entries: &'a [follow::Entry],
     /// Digest of `entries`, which changes when the list does.
     digest: u64,
-    nodes: cell::OnceCell<Vec<cold::Node<'a>>>,
+    nodes: cell::OnceCell<Vec<server_rate::Node<'a>>>,
 }
 
 impl<'a> Processes<'a> {
@@ -403,14 +407,14 @@
 
     /// Returns the processes as the warm-up ranking sees them. They are computed on first use,
     /// since most tables need no ranking.
-    fn nodes(&self) -> &[cold::Node<'a>] {
+    fn nodes(&self) -> &[server_rate::Node<'a>] {
         self.nodes
             .get_or_init(|| self.entries.iter().map(entry_node).collect())
     }
 }
 
-fn entry_node(entry: &follow::Entry) -> cold::Node<'_> {
-    cold::Node::new(&entry.name, &entry.zone)
+fn entry_node(entry: &follow::Entry) -> server_rate::Node<'_> {
+    server_rate::Node::new(&entry.name, &entry.zone)
 }
 
 /// Marks the servers that this process prefers: the same number for each distance and part in a
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt;
 use nutmegdale_accounts::key;
 use nutmegdale_base::{class, clock};
-use nutmegdale_dispatch::{budget, cold, estimate, health, signal};
+use nutmegdale_dispatch::{budget, estimate, health, server_rate, signal};
 use nutmegdale_gateway::{buffer, dialect, pool, proxy, settings, state, table};
 use nutmegdale_quota::gate;
 use nutmegdale_registry::{config, follow, server as registry};
@@ -614,12 +614,13 @@
             zone: "zone".to_owned(),
             region: "region".to_owned(),
         },
+        gossip_address: None,
         regions: [("zone", "region"), ("next", "region"), ("far", "elsewhere")]
             .map(|(zone, region)| (zone.to_owned(), region.to_owned()))
             .into(),
         bounds: settings::Bounds {
             retry_budget: RETRY_BUDGET,
-            cold_rate: cold::Bound {
+            cold_rate: server_rate::ColdBound {
                 overshoot: 1.5,
                 slack: 5.0,
             },
--- /dev/null
+++ b/crates/gossip/src/state.rs
@@ -0,0 +1,212 @@
+//! Facts that a process holds, and the messages that spread them.
+
+use crate::{board, message, peers, server_limits};
+use nutmegdale_base::{clock, rng};
+use std::net;
+
+/// Limit of the facts on limits of servers: a few for each server of the largest deployments.
+const LIMITS_MAX_COUNT: usize = 4_096;
+/// Facts of one message, which then fits into a datagram that no link splits.
+const FACTS_MAX_COUNT: usize = 32;
+/// Interval between two rounds in which news is told.
+pub const NEWS_INTERVAL_MS: clock::Millis = clock::Millis(200);
+/// Interval between two comparisons of a process that holds facts.
+pub const COMPARE_INTERVAL_MS: clock::Millis = clock::Millis(500);
+/// Peers with which a process compares its facts after a start or a suspension.
+const CATCH_UP_COUNT: u32 = 4;
+/// Time between two rounds from which a process was suspended.
+const SUSPENDED_AFTER_MS: clock::Millis = clock::Millis(2_500);
+
+/// Message and the peer that it goes to.
+pub type Outgoing = (net::SocketAddr, message::Message);
+
+/// What a message has changed.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Received {
+    /// Messages to the sender.
+    pub replies: Vec<message::Message>,
+    /// Keys of limits that have changed.
+    pub limits: Vec<u64>,
+}
+
+/// Facts that a process holds.
+#[derive(Debug)]
+pub struct State {
+    /// Rate limits that servers name.
+    pub limits: board::Board<server_limits::Named>,
+    tellings_count: u32,
+    /// Time of the last round, if it left another one due within [`COMPARE_INTERVAL_MS`].
+    last_active_round: Option<clock::Millis>,
+    last_compare: clock::Millis,
+    /// Comparisons that are still due after a start or a suspension.
+    catch_up_left: u32,
+}
+
+impl Default for State {
+    fn default() -> State {
+        State::new()
+    }
+}
+
+impl State {
+    /// Creates the state of a process that has just started.
+    pub fn new() -> State {
+        State {
+            limits: board::Board::new(LIMITS_MAX_COUNT),
+            tellings_count: peers::tellings_count(1),
+            last_active_round: None,
+            last_compare: clock::Millis::ZERO,
+            catch_up_left: CATCH_UP_COUNT,
+        }
+    }
+
+    /// Makes the next rounds compare the facts with those of several peers, since this process may
+    /// have missed some.
+    pub fn catch_up(&mut self) {
+        self.catch_up_left = CATCH_UP_COUNT;
+    }
+
+    /// Records the limit that a response names, `None` for no limit; returns whether it is news for
+    /// the other processes.
+    pub fn observe_limit(
+        &mut self,
+        now: clock::Millis,
+        key: u64,
+        milli_per_s: Option<u32>,
+    ) -> bool {
+        let known = self.limits.get_aged(now, key);
+        let Some(value) = server_limits::observe(known, milli_per_s) else {
+            return false;
+        };
+        self.limits
+            .merge(now, &fresh(key, value), self.tellings_count)
+    }
+
+    /// Returns whether another round is due without a message or an observation before it.
+    pub fn is_active(&self) -> bool {
+        self.catch_up_left > 0 || !self.limits.is_empty()
+    }
+
+    /// Returns whether news is to be told.
+    pub fn has_news(&self) -> bool {
+        self.limits.has_news()
+    }
+
+    /// Removes the facts whose lifetime has passed; returns the keys of limits among them.
+    pub fn expire(&mut self, now: clock::Millis) -> Vec<u64> {
+        self.limits.expire(now)
+    }
+
+    /// Returns the messages of a round: news, and a comparison if one is due.
+    pub fn round(
+        &mut self,
+        now: clock::Millis,
+        peers: &[peers::Peer<'_>],
+        own_region: &str,
+        rng: &mut dyn rng::Rng,
+    ) -> Vec<Outgoing> {
+        self.tellings_count = peers::tellings_count(peers.len());
+        let last_round = self.last_active_round.take();
+        if last_round.is_some_and(|last| now.since(last) >= SUSPENDED_AFTER_MS) {
+            self.catch_up();
+        }
+        if peers.is_empty() {
+            return Vec::new();
+        }
+        let mut outgoing = Vec::new();
+        for _ in 0..peers::FANOUT_COUNT {
+            let limits = self.limits.take_news(now, FACTS_MAX_COUNT);
+            if limits.is_empty() {
+                break;
+            }
+            let news = message::Message::News(message::Facts { limits });
+            outgoing.extend(peers::choose(peers, own_region, rng).map(|to| (to, news)));
+        }
+        let has_comparison = self.takes_comparison(now);
+        self.last_active_round = self.is_active().then_some(now);
+        if has_comparison {
+            let compare = message::Message::Compare(self.digest());
+            outgoing.extend(peers::choose(peers, own_region, rng).map(|to| (to, compare)));
+        }
+        outgoing
+    }
+
+    /// Returns whether a comparison is due in this round, and counts it.
+    fn takes_comparison(&mut self, now: clock::Millis) -> bool {
+        let is_periodic = !self.limits.is_empty()
+            && !self.has_news()
+            && now.since(self.last_compare) >= COMPARE_INTERVAL_MS;
+        let is_due = is_periodic || self.catch_up_left > 0;
+        if is_due {
+            self.last_compare = now;
+            self.catch_up_left = self.catch_up_left.saturating_sub(1);
+        }
+        is_due
+    }
+
+    fn digest(&self) -> u64 {
+        self.limits.digest()
+    }
+
+    /// Merges a message of another process.
+    pub fn receive(&mut self, now: clock::Millis, message: &message::Message) -> Received {
+        match message {
+            message::Message::News(facts) => self.merge(now, facts),
+            message::Message::Compare(digest) => Received {
+                replies: self.replies(now, *digest, true),
+                ..Received::default()
+            },
+            message::Message::All {
+                facts,
+                digest,
+                wants_reply,
+            } => {
+                let mut received = self.merge(now, facts);
+                if *wants_reply {
+                    received.replies = self.replies(now, *digest, false);
+                }
+                received
+            }
+        }
+    }
+
+    fn merge(&mut self, now: clock::Millis, facts: &message::Facts) -> Received {
+        let tellings_count = self.tellings_count;
+        let limits = facts.limits.iter();
+        let changed = limits.filter(|fact| self.limits.merge(now, fact, tellings_count));
+        Received {
+            limits: changed.map(|fact| fact.key).collect(),
+            replies: Vec::new(),
+        }
+    }
+
+    /// Returns all facts if they differ from those with `digest`. The last part wants a reply.
+    fn replies(&self, now: clock::Millis, digest: u64, wants_reply: bool) -> Vec<message::Message> {
+        let own_digest = self.digest();
+        if own_digest == digest {
+            return Vec::new();
+        }
+        let facts = self.limits.facts(now);
+        // A process without facts replies, too, so that it gets those of the sender.
+        let parts_count = facts.len().div_ceil(FACTS_MAX_COUNT).max(1);
+        let parts = (0..parts_count).map(|n| {
+            let limits = facts.iter().skip(n * FACTS_MAX_COUNT);
+            message::Message::All {
+                facts: message::Facts {
+                    limits: limits.take(FACTS_MAX_COUNT).cloned().collect(),
+                },
+                digest: own_digest,
+                wants_reply: wants_reply && n + 1 == parts_count,
+            }
+        });
+        parts.collect()
+    }
+}
+
+fn fresh<V>(key: u64, value: V) -> board::Fact<V> {
+    board::Fact {
+        key,
+        age: clock::Millis::ZERO,
+        value,
+    }
+}
