--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -1,6 +1,6 @@
 //! Log of the decisions on requests: one line per request, with its attempts and their inputs.
 
-use crate::{backend, hedge_timer, picker, precedence};
+use crate::{backend, fingerprint, hedge_timer, picker, precedence};
 use nutmegdale_base::{class, clock, outcome};
 use nutmegdale_dispatch::{health, locality, placement, server_limit};
 use nutmegdale_telemetry::limiter;
@@ -97,6 +97,13 @@
         write!(self.text, " {}:hedge-{}", at.0, trigger.name()).expect("string can be written");
     }
 
+    /// Appends the fingerprint of a request whose server broke off.
+    pub(crate) fn push_fingerprint(&mut self, fingerprint: Option<fingerprint::Fingerprint>) {
+        if let Some(fingerprint) = fingerprint {
+            write!(self.text, " fingerprint={fingerprint}").expect("string can be written");
+        }
+    }
+
     /// Appends another event, such as the result of the last attempt.
     pub fn push_event(&mut self, at: clock::Millis, event: &str) {
         write!(self.text, " {}:{event}", at.0).expect("string can be written");
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,8 +5,8 @@
 //! stay within the retry budget of their service.
 
 use crate::{
-    attempt, backend, call, caller, hedge_timer, metrics, payload, picker, precedence, rollouts,
-    table,
+    attempt, backend, call, caller, fingerprint, hedge_timer, metrics, payload, picker, precedence,
+    rollouts, table,
 };
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -59,6 +59,8 @@
     /// Whether the request may be sent again although an earlier attempt may have run.
     is_retryable: bool,
     payload: Option<payload::Payload>,
+    /// Fingerprint of the request, once it was needed.
+    fingerprint: Option<fingerprint::Fingerprint>,
     /// Servers of all attempts.
     tried: Vec<sync::Arc<backend::Backend>>,
     /// Number of attempts, except those that ended before the request was written.
@@ -152,6 +154,7 @@
             head: sync::Arc::new(request.head),
             is_retryable: is_idempotent && request.payload.rest.is_none(),
             payload: Some(request.payload),
+            fingerprint: None,
             tried: Vec::new(),
             attempts_count: 0,
             fallback: None,
@@ -457,7 +460,7 @@
         picked: picker::Picked,
         observer: Option<rollouts::Observer>,
     ) {
-        let Some(payload) = self.next_payload() else {
+        let Some(payload) = self.next_payload(call) else {
             return;
         };
         if picked.is_trial {
@@ -494,10 +497,22 @@
         ));
     }
 
+    /// Returns the fingerprint of the request; `None` if its body is gone.
+    fn fingerprint(&mut self, call: &call::Call<'_>) -> Option<fingerprint::Fingerprint> {
+        let token = &call.shared.settings.cluster_token;
+        if let (None, Some(payload)) = (self.fingerprint, &self.payload) {
+            let account = call.account.as_ref().map(|account| account.name.as_str());
+            let fingerprint = fingerprint::Fingerprint::of(token, account, &self.head, payload);
+            self.fingerprint = Some(fingerprint);
+        }
+        self.fingerprint
+    }
+
     /// Returns the body for the next attempt. A streamed body can be sent only once.
-    fn next_payload(&mut self) -> Option<payload::Payload> {
+    fn next_payload(&mut self, call: &call::Call<'_>) -> Option<payload::Payload> {
         let payload = self.payload.as_ref()?;
         if payload.rest.is_some() {
+            self.fingerprint(call);
             return self.payload.take();
         }
         Some(payload::Payload::from_bytes(payload.buffered.clone()))
@@ -531,6 +546,9 @@
             }
             attempt::AttemptResult::Unknown(reason) => {
                 call.trace.push_event(call.elapsed(), reason.name());
+                if reason == outcome::Reason::BrokenAnswer {
+                    call.trace.push_fingerprint(self.fingerprint(call));
+                }
                 self.unknown_reason = Some(reason);
                 match self.is_retryable {
                     true => self.retry_or_wait(is_last),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod directory;
 mod exchange;
 pub mod failover;
+mod fingerprint;
 pub mod follow;
 pub mod gossip;
 mod hedge_timer;
