gossip, dispatch, gateway: requests that crash servers are banned at all entry processes

Cause: a request was known by its id only, and only within one attempt of its caller. The class of fault is state that is needed beyond the exchange that it is learned in, like the limits that servers name. Excluded: retries beyond the route's limit (no line has more than two sends), several deadly requests (one fingerprint has 54 of the broken answers).

Change: a connection that ends without a response, to a server that then refuses connections, is a crash; it is laid to the request that ran under earlier crashes, or to all of this process that ran there. The evidence is a fact that entry processes tell each other. Three incarnations ban the fingerprint for an hour; a successful response anywhere clears it, so a request that many callers need is not banned for another's crash. A banned request is answered 400 at once and has not run.

--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -83,6 +83,8 @@
     Backoff = "backoff",
     /// Every usable backend server has reached the rate limit that it names.
     ServerLimit = "server-limit",
+    /// Backend servers crashed each time that they ran the request.
+    CrashesServers = "crashes-servers",
     /// No usable backend server is announced.
     NoServer = "no-server",
     /// No connection to a backend server could be made.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! retries and hedges, [`split`] divides a route's requests among services, [`pressure`] measures
 //! how short of capacity a service is, [`precedence`] keeps slots free for urgent requests, as
 //! far as [`demand`] shows some, [`return_time`] tells refused callers when to return,
+//! [`crash`] which requests a crash of a server is laid to,
 //! [`shedding`] tells a service that rejects a part of its requests from a server that fails, and
 //! [`admission`] decides whether a request can still be served in time. Nothing here depends on
 //! HTTP; the caller is `nutmegdale-gateway`.
@@ -19,6 +20,7 @@
 pub mod availability;
 pub mod budget;
 pub mod connects;
+pub mod crash;
 pub mod demand;
 pub mod estimate;
 pub mod health;
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -75,7 +75,7 @@
     match reason {
         Reason::NoRoute => hyper::StatusCode::NOT_FOUND,
         Reason::Account => hyper::StatusCode::FORBIDDEN,
-        Reason::BadRequest => hyper::StatusCode::BAD_REQUEST,
+        Reason::BadRequest | Reason::CrashesServers => hyper::StatusCode::BAD_REQUEST,
         Reason::HomeRegion => hyper::StatusCode::MISDIRECTED_REQUEST,
         Reason::Limit => hyper::StatusCode::TOO_MANY_REQUESTS,
         Reason::Deadline => hyper::StatusCode::GATEWAY_TIMEOUT,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -101,6 +101,8 @@
     Refused(identify::Refusal),
     /// The request may have run.
     Unknown(outcome::Reason),
+    /// The connection ended before the response did, so the request may have run.
+    Disconnected,
 }
 
 /// Sends a request and waits for the response until the deadline.
@@ -219,7 +221,10 @@
         true => health::Failure::Silence,
         false => health::Failure::Answer,
     };
-    broken(in_flight, failure)
+    match broken(in_flight, failure) {
+        AttemptResult::Unknown(_) if !err.error().is_parse() => AttemptResult::Disconnected,
+        result => result,
+    }
 }
 
 /// Returns the counters of the bytes of requests to a server.
@@ -307,6 +312,10 @@
         }
         match payload::Payload::read(incoming, &shared.buffer_budget).await {
             Ok(payload) if is_valid => self.answer(in_flight, connection, head, payload),
+            Err(err) if !err.is_parse() => {
+                broken(in_flight, health::Failure::Answer);
+                AttemptResult::Disconnected
+            }
             _ => broken(in_flight, health::Failure::Answer),
         }
     }
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,6 +1,6 @@
 //! Runtime state of one incarnation of a backend server.
 
-use crate::{pool, precedence as priorities, rollouts};
+use crate::{crashes, pool, precedence as priorities, rollouts};
 use arc_swap::ArcSwap;
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{
@@ -102,6 +102,8 @@
     pub connect_hold: connects::Hold,
     /// Health check, shared by concurrent requests.
     pub probe: SharedProbe,
+    /// Requests that may have crashed the server.
+    pub suspects: crashes::Suspects,
     is_open: atomic::AtomicBool,
     ranking: ArcSwap<Ranking>,
     /// Digest of what `ranking` was computed from; 0 before that.
@@ -143,6 +145,7 @@
             limit: server_limit::Current::default(),
             connect_hold: connects::Hold::default(),
             probe: SharedProbe::default(),
+            suspects: crashes::Suspects::default(),
             is_open: atomic::AtomicBool::new(false),
             ranking: ArcSwap::from_pointee(Ranking::default()),
             ranking_digest: atomic::AtomicU64::new(0),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -71,6 +71,12 @@
         self.local_response(hyper::StatusCode::SERVICE_UNAVAILABLE, outcome, retry_after)
     }
 
+    /// Returns the response to a request that is banned, which has not run and need not come again.
+    pub(crate) fn banned(&self) -> FinalResponse {
+        let outcome = outcome::Outcome::NotRun(outcome::Reason::CrashesServers);
+        self.local_response(hyper::StatusCode::BAD_REQUEST, outcome, None)
+    }
+
     /// Returns the response to a request that a server may have run.
     pub(crate) fn unknown(&self, reason: outcome::Reason) -> FinalResponse {
         let status = match reason {
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -98,10 +98,8 @@
     }
 
     /// Appends the fingerprint of a request whose server broke off.
-    pub(crate) fn push_fingerprint(&mut self, fingerprint: Option<fingerprint::Fingerprint>) {
-        if let Some(fingerprint) = fingerprint {
-            write!(self.text, " fingerprint={fingerprint}").expect("string can be written");
-        }
+    pub(crate) fn push_fingerprint(&mut self, fingerprint: fingerprint::Fingerprint) {
+        write!(self.text, " fingerprint={fingerprint}").expect("string can be written");
     }
 
     /// Appends another event, such as the result of the last attempt.
@@ -225,6 +223,27 @@
         }
     }
 
+    /// Writes the line of a server that crashed under `suspects_count` requests of this process,
+    /// unless the rate limit suppresses it. `is_alone` says that few other servers crashed at the same
+    /// time, so that the requests are suspected.
+    pub(crate) fn write_crash(
+        &self,
+        now: clock::Millis,
+        backend: &backend::Backend,
+        suspects_count: usize,
+        is_alone: bool,
+    ) {
+        if let Some(suppressed) = self.abnormal.admit(now) {
+            slog::info!(self.log, "server crashed";
+                "server" => backend.id(),
+                "service" => &backend.announcement.service,
+                "born" => backend.announcement.born,
+                "requests" => suspects_count,
+                "alone" => is_alone,
+                "suppressed" => suppressed);
+        }
+    }
+
     /// Writes the line of a server whose rate limit changed, unless the rate limit of the log
     /// suppresses it. A rate is written as requests per second; -1 means that there is no limit.
     pub(crate) fn write_limit(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,8 +5,8 @@
 //! stay within the retry budget of their service.
 
 use crate::{
-    attempt, backend, call, caller, fingerprint, hedge_timer, metrics, payload, picker, precedence,
-    rollouts, table,
+    attempt, backend, call, caller, crashes, fingerprint, hedge_timer, metrics, payload, picker,
+    precedence, rollouts, table,
 };
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -45,7 +45,13 @@
     pub(crate) waited_before: clock::Millis,
 }
 
-type AttemptFuture = pin::Pin<Box<dyn Future<Output = attempt::AttemptResult> + Send>>;
+/// Attempt that has ended, and its server.
+struct Ended {
+    backend: sync::Arc<backend::Backend>,
+    result: attempt::AttemptResult,
+}
+
+type AttemptFuture = pin::Pin<Box<dyn Future<Output = Ended> + Send>>;
 
 /// Attempts of one request and their results so far.
 pub(crate) struct Exchange<'a> {
@@ -111,7 +117,7 @@
 /// Event that ends a wait.
 enum Event {
     /// An attempt ended.
-    AttemptEnded(attempt::AttemptResult),
+    AttemptEnded(Ended),
     /// A hedge is due.
     HedgeDue(hedge_timer::Trigger),
     /// The deadline of the request has passed.
@@ -134,7 +140,7 @@
     let time_left = time::Duration::from_millis(call.time_left().0);
     tokio::select! {
         biased;
-        Some(result) = attempts.next() => Event::AttemptEnded(result),
+        Some(ended) = attempts.next() => Event::AttemptEnded(ended),
         trigger = hedge_due => Event::HedgeDue(trigger),
         () = tokio::time::sleep(time_left) => Event::Deadline,
         () = call.shared.wait_ending() => Event::ProcessEnds,
@@ -179,8 +185,8 @@
                 return self.finish(call);
             }
             let step = match next_event(call, &mut attempts, &mut hedge_timer).await {
-                Event::AttemptEnded(result) => {
-                    self.on_attempt_ended(call, result, attempts.is_empty())
+                Event::AttemptEnded(ended) => {
+                    self.on_attempt_ended(call, ended, attempts.is_empty())
                 }
                 Event::Deadline => {
                     call.trace.push_event(call.elapsed(), "deadline");
@@ -195,7 +201,7 @@
                 Event::HedgeDue(trigger) => {
                     call.trace.push_hedge(call.elapsed(), trigger);
                     match self.hedge(call, &mut attempts, &mut hedge_timer).await {
-                        Some(result) => self.on_attempt_ended(call, result, attempts.is_empty()),
+                        Some(ended) => self.on_attempt_ended(call, ended, attempts.is_empty()),
                         None => Step::Wait,
                     }
                 }
@@ -220,6 +226,9 @@
             return caller::refuse(call, refusal);
         }
         let (reason, retry_after) = match self.rejection {
+            Some(rejection) if rejection.reason == outcome::Reason::CrashesServers => {
+                return call.banned();
+            }
             Some(rejection) => (rejection.reason, Some(rejection.retry_after)),
             None => (outcome::Reason::NoServer, None),
         };
@@ -233,7 +242,7 @@
         call: &mut call::Call<'_>,
         attempts: &mut FuturesUnordered<AttemptFuture>,
         hedge_timer: &mut Option<hedge_timer::HedgeTimer>,
-    ) -> Option<attempt::AttemptResult> {
+    ) -> Option<Ended> {
         let before = self.attempts_count;
         if let Some(target) = self.target(call) {
             let result = tokio::select! {
@@ -261,6 +270,10 @@
         call: &mut call::Call<'_>,
         attempts: &mut FuturesUnordered<AttemptFuture>,
     ) -> Option<hedge_timer::HedgeTimer> {
+        if self.is_banned(call) {
+            self.reject_banned(call);
+            return None;
+        }
         if !self.can_end_before_stop(call) {
             let reason = outcome::Reason::ShuttingDown;
             call.trace.push_event(call.elapsed(), reason.name());
@@ -274,6 +287,13 @@
         self.launch(call, attempts, &target, result, false)
     }
 
+    fn reject_banned(&mut self, call: &mut call::Call<'_>) {
+        let reason = outcome::Reason::CrashesServers;
+        call.trace.push_event(call.elapsed(), reason.name());
+        metrics::increment(&call.shared.metrics.refused_banned);
+        self.rejection = Some(picker::Rejection::new(reason, clock::Millis::ZERO));
+    }
+
     /// Returns whether another attempt is likely to end before a stopping process cuts it off.
     fn can_end_before_stop(&self, call: &call::Call<'_>) -> bool {
         let service_time_ms = self.route.estimate.service_time_ms();
@@ -365,6 +385,11 @@
                 return None;
             }
         };
+        // Other processes may have banned the request while a server was picked.
+        if self.is_banned(call) {
+            self.reject_banned(call);
+            return None;
+        }
         if is_hedge && !self.is_worth_hedging(&picked, call) {
             call.trace.push_event(call.elapsed(), "no-quiet-server");
             return None;
@@ -492,9 +517,11 @@
             observer,
         };
         let shared = sync::Arc::clone(call.shared);
-        attempts.push(Box::pin(
-            async move { attempt::run(&shared, attempt).await },
-        ));
+        let backend = sync::Arc::clone(&attempt.backend);
+        attempts.push(Box::pin(async move {
+            let result = attempt::run(&shared, attempt).await;
+            Ended { backend, result }
+        }));
     }
 
     /// Returns the fingerprint of the request; `None` if its body is gone.
@@ -519,16 +546,14 @@
     }
 
     /// Processes the result of an attempt; `is_last` is true if no other one is in flight.
-    fn on_attempt_ended(
-        &mut self,
-        call: &mut call::Call<'_>,
-        result: attempt::AttemptResult,
-        is_last: bool,
-    ) -> Step {
-        match result {
+    fn on_attempt_ended(&mut self, call: &mut call::Call<'_>, ended: Ended, is_last: bool) -> Step {
+        match ended.result {
             attempt::AttemptResult::Answered(response) => {
                 call.trace
                     .push_event(call.elapsed(), response.status.as_str());
+                if response.status.is_success() {
+                    self.on_served(call);
+                }
                 self.on_response(response, is_last)
             }
             attempt::AttemptResult::NotRun(reason, was_written) => {
@@ -546,18 +571,50 @@
             }
             attempt::AttemptResult::Unknown(reason) => {
                 call.trace.push_event(call.elapsed(), reason.name());
-                if reason == outcome::Reason::BrokenAnswer {
-                    call.trace.push_fingerprint(self.fingerprint(call));
-                }
-                self.unknown_reason = Some(reason);
-                match self.is_retryable {
-                    true => self.retry_or_wait(is_last),
-                    false => Step::Wait,
+                self.on_unknown(reason, is_last)
+            }
+            attempt::AttemptResult::Disconnected => {
+                let reason = outcome::Reason::BrokenAnswer;
+                call.trace.push_event(call.elapsed(), reason.name());
+                if let Some(fingerprint) = self.fingerprint(call) {
+                    call.trace.push_fingerprint(fingerprint);
+                    crashes::suspect(call.shared, &ended.backend, fingerprint);
                 }
+                self.on_unknown(reason, is_last)
             }
         }
     }
 
+    fn on_unknown(&mut self, reason: outcome::Reason, is_last: bool) -> Step {
+        self.unknown_reason = Some(reason);
+        match self.is_retryable {
+            true => self.retry_or_wait(is_last),
+            false => Step::Wait,
+        }
+    }
+
+    /// Returns whether the request is banned, since servers crashed under it.
+    fn is_banned(&mut self, call: &call::Call<'_>) -> bool {
+        let gossip = &call.shared.gossip;
+        gossip.has_accused()
+            && self
+                .fingerprint(call)
+                .is_some_and(|fingerprint| gossip.is_banned(fingerprint))
+    }
+
+    /// Notes that the request was served, so that no crash is laid to it.
+    fn on_served(&mut self, call: &call::Call<'_>) {
+        let gossip = &call.shared.gossip;
+        if !gossip.has_accused() {
+            return;
+        }
+        if let Some(fingerprint) = self.fingerprint(call)
+            && gossip.clear(call.shared.clock.now(), fingerprint)
+        {
+            metrics::increment(&call.shared.metrics.requests_cleared);
+        }
+    }
+
     /// Returns the time after which the caller of a request that a server refused should retry.
     fn retry_after(&self, call: &call::Call<'_>) -> clock::Millis {
         let table = call.shared.table.load();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,12 +4,14 @@
 //! or cut off costs one lost datagram and delays nothing; the loss of some is part of the design. See
 //! [docs/design/gossip.md](../../../docs/design/gossip.md).
 
-use crate::{metrics, state, table};
+use crate::{fingerprint, metrics, state, table};
+use arc_swap::ArcSwap;
 use nutmegdale_base::{clock, digest};
 use nutmegdale_dispatch::server_limit;
-use nutmegdale_gossip::{message, peers, server_limits, state as facts};
+use nutmegdale_gossip::{crashes, message, peers, server_limits, state as facts};
 use nutmegdale_telemetry::metrics as telemetry;
 use sha2::Digest;
+use std::collections;
 use std::io;
 use std::net;
 use std::sync;
@@ -28,10 +30,15 @@
 /// Pause after an error of the socket.
 const ERROR_PAUSE_MS: u64 = 100;
 
+/// Requests under which servers crashed, with the number of these servers.
+pub(crate) type Accused = collections::HashMap<fingerprint::Fingerprint, usize>;
+
 /// Facts that this process holds, and what operators see of their exchange.
 #[derive(Debug)]
 pub struct Gossip {
     state: sync::Mutex<facts::State>,
+    /// Copy of the facts on crashes for the path of a request.
+    accused: ArcSwap<Accused>,
     /// Notified when there is news for other processes.
     news: tokio::sync::Notify,
     sent: atomic::AtomicU64,
@@ -51,6 +58,7 @@
     pub fn new() -> Gossip {
         Gossip {
             state: sync::Mutex::new(facts::State::new()),
+            accused: ArcSwap::default(),
             news: tokio::sync::Notify::new(),
             sent: atomic::AtomicU64::new(0),
             sent_bytes: atomic::AtomicU64::new(0),
@@ -79,6 +87,61 @@
         }
     }
 
+    /// Returns the requests under which servers crashed; empty in normal operation.
+    pub(crate) fn accused(&self) -> sync::Arc<Accused> {
+        self.accused.load_full()
+    }
+
+    /// Returns whether servers have crashed under any request.
+    pub(crate) fn has_accused(&self) -> bool {
+        !self.accused.load().is_empty()
+    }
+
+    /// Returns whether a request is banned.
+    pub(crate) fn is_banned(&self, fingerprint: fingerprint::Fingerprint) -> bool {
+        let accused = self.accused.load();
+        let crashes_count = accused.get(&fingerprint);
+        crashes_count.is_some_and(|count| *count >= crashes::BAN_COUNT)
+    }
+
+    /// Lays the crash of a server to a request, and tells the other processes.
+    pub(crate) fn accuse(
+        &self,
+        now: clock::Millis,
+        fingerprint: fingerprint::Fingerprint,
+        server: u32,
+    ) {
+        let mut state = self.state();
+        if state.accuse(now, fingerprint.0, server) {
+            self.publish_accused(&state);
+            self.news.notify_one();
+        }
+    }
+
+    /// Clears a request that was served, and tells the other processes; returns whether crashes were
+    /// laid to it.
+    pub(crate) fn clear(&self, now: clock::Millis, fingerprint: fingerprint::Fingerprint) -> bool {
+        if !self.accused.load().contains_key(&fingerprint) {
+            return false;
+        }
+        let mut state = self.state();
+        let is_news = state.clear(now, fingerprint.0);
+        if is_news {
+            self.publish_accused(&state);
+            self.news.notify_one();
+        }
+        is_news
+    }
+
+    fn publish_accused(&self, state: &facts::State) {
+        let accused = state.crashes.iter().filter(|(_, e)| !e.servers.is_empty());
+        let accused = accused.map(|(key, evidence)| {
+            let fingerprint = fingerprint::Fingerprint(key);
+            (fingerprint, evidence.servers.len())
+        });
+        self.accused.store(sync::Arc::new(accused.collect()));
+    }
+
     /// Compares the facts with those of several peers, after a time without contact.
     pub(crate) fn catch_up(&self) {
         self.state().catch_up();
@@ -86,7 +149,7 @@
     }
 
     /// Returns the counters of the exchange.
-    pub(crate) fn samples(&self) -> [telemetry::Sample; 5] {
+    pub(crate) fn samples(&self) -> [telemetry::Sample; 7] {
         let counter = |name, help, value: &atomic::AtomicU64| telemetry::Sample {
             name,
             help,
@@ -94,6 +157,10 @@
             value: value.load(atomic::Ordering::Relaxed),
         };
         let limits_count = self.state().limits.len() as u64;
+        let accused = self.accused.load();
+        let banned = accused
+            .values()
+            .filter(|count| **count >= crashes::BAN_COUNT);
         [
             counter(
                 "nutmegdale_gossip_sent_total",
@@ -121,6 +188,18 @@
                 kind: telemetry::Kind::Gauge,
                 value: limits_count,
             },
+            telemetry::Sample {
+                name: "nutmegdale_accused_requests",
+                help: "Requests to which crashes of servers are laid, the banned ones included.",
+                kind: telemetry::Kind::Gauge,
+                value: accused.len() as u64,
+            },
+            telemetry::Sample {
+                name: "nutmegdale_banned_requests",
+                help: "Requests that are refused, since servers crashed under them.",
+                kind: telemetry::Kind::Gauge,
+                value: banned.count() as u64,
+            },
         ]
     }
 }
@@ -142,8 +221,14 @@
     }
 }
 
-/// Applies the limits of the given keys, which have changed or expired, to their servers.
-fn apply_changed(shared: &state::Shared, now: clock::Millis, keys: &[u64]) {
+/// Applies what has changed: the limits of the given keys, which may have expired, to their servers,
+/// and the facts on crashes to the copy for requests.
+fn apply_changed(shared: &state::Shared, now: clock::Millis, received: &facts::Received) {
+    if received.has_crashes {
+        let state = shared.gossip.state();
+        shared.gossip.publish_accused(&state);
+    }
+    let keys = &received.limits;
     if keys.is_empty() {
         return;
     }
@@ -195,8 +280,8 @@
         };
         let now = shared.clock.now();
         let received = shared.gossip.state().receive(now, &message);
-        apply_changed(shared, now, &received.limits);
-        if !received.limits.is_empty() {
+        apply_changed(shared, now, &received);
+        if received.has_news() {
             shared.gossip.news.notify_one();
         }
         for reply in &received.replies {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! requests. Only [`attempt`] writes requests to servers, over connections from [`pool`];
 //! [`buffer`] limits the memory of buffered bodies; `in_flight` records what each attempt tells
 //! of its server, and [`server_traffic`] counts bytes. [`quota`] admits requests within the
-//! limits of their accounts, [`gossip`] exchanges facts on servers with other entry processes, and [`rollouts`] divides requests between two versions of a service.
+//! limits of their accounts, [`crashes`] recognises requests that crash servers, [`gossip`] exchanges facts on servers with other entry processes, and [`rollouts`] divides requests between two versions of a service.
 //! [`directory`] selects the addresses to which callers connect. Header names of a front end are
 //! known only to its [`dialect::Dialect`]. See [docs/platform.md](../../../docs/platform.md).
 
@@ -18,6 +18,7 @@
 pub mod buffer;
 mod call;
 pub mod caller;
+pub mod crashes;
 pub mod decisions;
 pub mod dialect;
 pub mod directory;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,12 @@
     pub limits_unreadable: atomic::AtomicU64,
     /// Sends to servers that name a rate limit.
     pub sends_limited: atomic::AtomicU64,
+    /// Servers that crashed under requests of this process.
+    pub servers_crashed: atomic::AtomicU64,
+    /// Requests that were refused since servers crashed under them.
+    pub refused_banned: atomic::AtomicU64,
+    /// Requests to which crashes were laid and that were served.
+    pub requests_cleared: atomic::AtomicU64,
     /// Pipelined requests that were started while an earlier one of their connection was unfinished.
     pub pipelined: atomic::AtomicU64,
     /// Pipelined requests that were started early and dropped, since their connection ended.
@@ -158,6 +164,21 @@
                 "Sends to servers that name a rate limit.",
                 &self.sends_limited,
             ),
+            counter(
+                "nutmegdale_servers_crashed_total",
+                "Servers that crashed under requests of this process.",
+                &self.servers_crashed,
+            ),
+            counter(
+                "nutmegdale_refused_banned_total",
+                "Refusals of requests under which servers crashed.",
+                &self.refused_banned,
+            ),
+            counter(
+                "nutmegdale_requests_cleared_total",
+                "Requests to which crashes of servers were laid and that were served.",
+                &self.requests_cleared,
+            ),
             counter(
                 "nutmegdale_pipelined_total",
                 "Requests that were started while an earlier one of their connection was unfinished.",
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,7 +8,7 @@
 use hyper::header;
 use nutmegdale_admission::bucket;
 use nutmegdale_base::{clock, rng};
-use nutmegdale_dispatch::{connects, health, server_limit};
+use nutmegdale_dispatch::{connects, crash, health, server_limit};
 use nutmegdale_quota::gate;
 use nutmegdale_registry::config;
 use nutmegdale_rpc::client;
@@ -67,6 +67,8 @@
     pub log: slog::Logger,
     /// State of rollouts that outlives tables.
     pub rollouts: rollouts::State,
+    /// Recent crashes of servers.
+    pub crashes: crash::Recent,
     /// Facts that the entry processes tell each other.
     pub gossip: gossip::Gossip,
     /// Number that identifies the start of the process.
@@ -130,6 +132,7 @@
             decision_log: decisions::DecisionLog::new(dependencies.log.clone()),
             log: dependencies.log,
             rollouts: rollouts::State::default(),
+            crashes: crash::Recent::default(),
             gossip: gossip::Gossip::default(),
             boot: dependencies.seed,
             seed: atomic::AtomicU64::new(dependencies.seed),
--- a/crates/gossip/src/board.rs
+++ b/crates/gossip/src/board.rs
@@ -15,6 +15,12 @@
 
     /// Returns the time after its last change after which the fact is forgotten.
     fn lifetime(&self) -> clock::Millis;
+
+    /// Returns how much the loss of the fact would matter; a full board forgets those of the lowest
+    /// weight first.
+    fn weight(&self) -> usize {
+        0
+    }
 }
 
 /// Fact as it is told to other processes.
@@ -108,7 +114,7 @@
             return true;
         }
         if self.entries.len() >= self.max_count {
-            self.remove_oldest();
+            self.remove_least();
         }
         let entry = Entry {
             value: fact.value.clone(),
@@ -119,9 +125,11 @@
         true
     }
 
-    fn remove_oldest(&mut self) {
-        let oldest = self.entries.iter().min_by_key(|(_, e)| e.changed_at);
-        if let Some(key) = oldest.map(|(key, _)| *key) {
+    /// Removes the oldest of the facts with the lowest weight.
+    fn remove_least(&mut self) {
+        let entries = self.entries.iter();
+        let least = entries.min_by_key(|(_, e)| (e.value.weight(), e.changed_at));
+        if let Some(key) = least.map(|(key, _)| *key) {
             self.entries.remove(&key);
         }
     }
--- /dev/null
+++ b/crates/gossip/src/crashes.rs
@@ -0,0 +1,101 @@
+//! Requests under which servers crashed, as facts.
+//!
+//! A request is identified by its fingerprint, the same one for each time that it comes again. A
+//! process that sees a server crash accuses the requests that the server ran. A request that is
+//! served successfully is cleared by whichever process sees that: it ran beside the one at fault.
+
+use crate::board;
+use nutmegdale_base::{clock, digest};
+use serde::{Deserialize, Serialize};
+
+/// Crashed incarnations of servers from which a request is banned.
+pub const BAN_COUNT: usize = 3;
+/// Time for which a request is banned after the last crash.
+pub const BAN_MS: clock::Millis = clock::Millis(3_600_000);
+/// Time for which fewer crashes are remembered.
+const ACCUSED_MS: clock::Millis = clock::Millis(600_000);
+/// Time after which a request that was cleared can be accused again. Requests that many callers need
+/// run beside others all the time.
+const IMMUNE_MS: clock::Millis = clock::Millis(30_000);
+/// Time for which it is remembered that a request was cleared, longer than any process may lag.
+const CLEARED_MS: clock::Millis = clock::Millis(60_000);
+
+/// Crashes that are laid to a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Number of times that the request was cleared; evidence from before is void.
+    pub round: u32,
+    /// Digests of the crashed incarnations since then, sorted, the lowest [`BAN_COUNT`] of them.
+    /// Empty if the request was cleared.
+    pub servers: Vec<u32>,
+}
+
+impl Evidence {
+    /// Returns whether the request is banned.
+    pub fn is_ban(&self) -> bool {
+        self.servers.len() >= BAN_COUNT
+    }
+
+    fn add(&mut self, servers: &[u32]) -> bool {
+        let before = self.servers.clone();
+        self.servers.extend_from_slice(servers);
+        self.servers.sort_unstable();
+        self.servers.dedup();
+        self.servers.truncate(BAN_COUNT);
+        self.servers != before
+    }
+}
+
+impl board::Value for Evidence {
+    fn merge(&mut self, other: &Evidence) -> bool {
+        if other.round > self.round {
+            *self = other.clone();
+            return true;
+        }
+        other.round == self.round && self.add(&other.servers)
+    }
+
+    fn lifetime(&self) -> clock::Millis {
+        match self.servers.len() {
+            0 => CLEARED_MS,
+            count if count < BAN_COUNT => ACCUSED_MS,
+            _ => BAN_MS,
+        }
+    }
+
+    fn weight(&self) -> usize {
+        self.servers.len()
+    }
+}
+
+/// Returns the digest of an incarnation of a server.
+pub fn server_digest(server_id: &str, born: u64) -> u32 {
+    let digest = digest::of(&(server_id, born));
+    (digest >> 32) as u32
+}
+
+/// Returns the evidence after the crash of `server` under a request, given what is known and its age;
+/// `None` if that is no news or the request is immune.
+pub fn accuse(known: Option<(&Evidence, clock::Millis)>, server: u32) -> Option<Evidence> {
+    let Some((known, age)) = known else {
+        return Some(Evidence {
+            round: 0,
+            servers: vec![server],
+        });
+    };
+    if known.servers.is_empty() && age < IMMUNE_MS {
+        return None;
+    }
+    let mut evidence = known.clone();
+    evidence.add(&[server]).then_some(evidence)
+}
+
+/// Returns the evidence after a successful response to a request; `None` if nothing was known that
+/// this changes.
+pub fn clear(known: Option<&Evidence>) -> Option<Evidence> {
+    let accused = known.filter(|known| !known.servers.is_empty())?;
+    Some(Evidence {
+        round: accused.round.saturating_add(1),
+        servers: Vec::new(),
+    })
+}
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -1,7 +1,8 @@
 //! Facts that entry processes tell each other, without the coordinators.
 //!
 //! Some facts on servers have to be known to all entry processes within seconds, also while the
-//! coordinators are away: the rate limits that servers name ([`server_limits`]). A process that
+//! coordinators are away: the rate limits that servers name ([`server_limits`]), and the requests
+//! under which servers crashed ([`crashes`]). A process that
 //! learns a fact tells it to a few others, which do the same (rumor mongering), and processes that
 //! hold any facts compare them from time to time (anti-entropy), so that one that was cut off,
 //! frozen or restarted catches up. Without facts nothing is sent, except for one comparison after a
@@ -13,6 +14,7 @@
 //! [docs/design/gossip.md](../../../docs/design/gossip.md).
 
 pub mod board;
+pub mod crashes;
 pub mod message;
 pub mod peers;
 pub mod server_limits;
--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between entry processes.
 
-use crate::{board, server_limits};
+use crate::{board, crashes, server_limits};
 use serde::{Deserialize, Serialize};
 
 /// Facts of one message.
@@ -8,6 +8,15 @@
 pub struct Facts {
     /// Rate limits that servers name.
     pub limits: Vec<board::Fact<server_limits::Named>>,
+    /// Requests under which servers crashed.
+    pub crashes: Vec<board::Fact<crashes::Evidence>>,
+}
+
+impl Facts {
+    /// Returns whether there are no facts.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty() && self.crashes.is_empty()
+    }
 }
 
 /// Message from one entry process to another.
--- a/crates/gossip/src/state.rs
+++ b/crates/gossip/src/state.rs
@@ -1,11 +1,13 @@
 //! Facts that a process holds, and the messages that spread them.
 
-use crate::{board, message, peers, server_limits};
+use crate::{board, crashes, message, peers, server_limits};
 use nutmegdale_base::{clock, rng};
 use std::net;
 
 /// Limit of the facts on limits of servers: a few for each server of the largest deployments.
 const LIMITS_MAX_COUNT: usize = 4_096;
+/// Limit of the facts on requests under which servers crashed.
+const CRASHES_MAX_COUNT: usize = 4_096;
 /// Facts of one message, which then fits into a datagram that no link splits.
 const FACTS_MAX_COUNT: usize = 32;
 /// Interval between two rounds in which news is told.
@@ -27,6 +29,15 @@
     pub replies: Vec<message::Message>,
     /// Keys of limits that have changed.
     pub limits: Vec<u64>,
+    /// Whether facts on crashes have changed.
+    pub has_crashes: bool,
+}
+
+impl Received {
+    /// Returns whether any fact has changed.
+    pub fn has_news(&self) -> bool {
+        !self.limits.is_empty() || self.has_crashes
+    }
 }
 
 /// Facts that a process holds.
@@ -34,6 +45,8 @@
 pub struct State {
     /// Rate limits that servers name.
     pub limits: board::Board<server_limits::Named>,
+    /// Requests under which servers crashed, by fingerprint.
+    pub crashes: board::Board<crashes::Evidence>,
     tellings_count: u32,
     /// Time of the last round, if it left another one due within [`COMPARE_INTERVAL_MS`].
     last_active_round: Option<clock::Millis>,
@@ -53,6 +66,7 @@
     pub fn new() -> State {
         State {
             limits: board::Board::new(LIMITS_MAX_COUNT),
+            crashes: board::Board::new(CRASHES_MAX_COUNT),
             tellings_count: peers::tellings_count(1),
             last_active_round: None,
             last_compare: clock::Millis::ZERO,
@@ -82,19 +96,48 @@
             .merge(now, &fresh(key, value), self.tellings_count)
     }
 
+    /// Records that `server` crashed under the request with the fingerprint `key`; returns whether
+    /// that is news for the other processes.
+    pub fn accuse(&mut self, now: clock::Millis, key: u64, server: u32) -> bool {
+        let known = self.crashes.get_aged(now, key);
+        let Some(value) = crashes::accuse(known, server) else {
+            return false;
+        };
+        self.crashes
+            .merge(now, &fresh(key, value), self.tellings_count)
+    }
+
+    /// Records that the request with the fingerprint `key` was served; returns whether that is news
+    /// for the other processes.
+    pub fn clear(&mut self, now: clock::Millis, key: u64) -> bool {
+        let Some(value) = crashes::clear(self.crashes.get(key)) else {
+            return false;
+        };
+        self.crashes
+            .merge(now, &fresh(key, value), self.tellings_count)
+    }
+
     /// Returns whether another round is due without a message or an observation before it.
     pub fn is_active(&self) -> bool {
-        self.catch_up_left > 0 || !self.limits.is_empty()
+        self.catch_up_left > 0 || self.has_facts()
+    }
+
+    fn has_facts(&self) -> bool {
+        !self.limits.is_empty() || !self.crashes.is_empty()
     }
 
     /// Returns whether news is to be told.
     pub fn has_news(&self) -> bool {
-        self.limits.has_news()
+        self.limits.has_news() || self.crashes.has_news()
     }
 
-    /// Removes the facts whose lifetime has passed; returns the keys of limits among them.
-    pub fn expire(&mut self, now: clock::Millis) -> Vec<u64> {
-        self.limits.expire(now)
+    /// Removes the facts whose lifetime has passed.
+    pub fn expire(&mut self, now: clock::Millis) -> Received {
+        Received {
+            limits: self.limits.expire(now),
+            has_crashes: !self.crashes.expire(now).is_empty(),
+            replies: Vec::new(),
+        }
     }
 
     /// Returns the messages of a round: news, and a comparison if one is due.
@@ -116,10 +159,13 @@
         let mut outgoing = Vec::new();
         for _ in 0..peers::FANOUT_COUNT {
             let limits = self.limits.take_news(now, FACTS_MAX_COUNT);
-            if limits.is_empty() {
+            let rest_count = FACTS_MAX_COUNT - limits.len();
+            let crashes = self.crashes.take_news(now, rest_count);
+            let facts = message::Facts { limits, crashes };
+            if facts.is_empty() {
                 break;
             }
-            let news = message::Message::News(message::Facts { limits });
+            let news = message::Message::News(facts);
             outgoing.extend(peers::choose(peers, own_region, rng).map(|to| (to, news)));
         }
         let has_comparison = self.takes_comparison(now);
@@ -133,7 +179,7 @@
 
     /// Returns whether a comparison is due in this round, and counts it.
     fn takes_comparison(&mut self, now: clock::Millis) -> bool {
-        let is_periodic = !self.limits.is_empty()
+        let is_periodic = self.has_facts()
             && !self.has_news()
             && now.since(self.last_compare) >= COMPARE_INTERVAL_MS;
         let is_due = is_periodic || self.catch_up_left > 0;
@@ -145,7 +191,8 @@
     }
 
     fn digest(&self) -> u64 {
-        self.limits.digest()
+        // Rotated, so that equal facts of both kinds do not cancel each other.
+        self.limits.digest() ^ self.crashes.digest().rotate_left(1)
     }
 
     /// Merges a message of another process.
@@ -174,8 +221,12 @@
         let tellings_count = self.tellings_count;
         let limits = facts.limits.iter();
         let changed = limits.filter(|fact| self.limits.merge(now, fact, tellings_count));
+        let limits = changed.map(|fact| fact.key).collect();
+        let crashes = facts.crashes.iter();
+        let changed = crashes.filter(|fact| self.crashes.merge(now, fact, tellings_count));
         Received {
-            limits: changed.map(|fact| fact.key).collect(),
+            limits,
+            has_crashes: changed.count() > 0,
             replies: Vec::new(),
         }
     }
@@ -186,15 +237,19 @@
         if own_digest == digest {
             return Vec::new();
         }
-        let facts = self.limits.facts(now);
+        let (limits, crashes) = (self.limits.facts(now), self.crashes.facts(now));
         // A process without facts replies, too, so that it gets those of the sender.
-        let parts_count = facts.len().div_ceil(FACTS_MAX_COUNT).max(1);
+        let parts_count = (limits.len() + crashes.len())
+            .div_ceil(FACTS_MAX_COUNT)
+            .max(1);
         let parts = (0..parts_count).map(|n| {
-            let limits = facts.iter().skip(n * FACTS_MAX_COUNT);
+            let first = n * FACTS_MAX_COUNT;
+            let limits: Vec<_> = part(&limits, first, FACTS_MAX_COUNT).to_vec();
+            let rest_count = FACTS_MAX_COUNT - limits.len();
+            let first_crash = first.saturating_sub(self.limits.len());
+            let crashes = part(&crashes, first_crash, rest_count).to_vec();
             message::Message::All {
-                facts: message::Facts {
-                    limits: limits.take(FACTS_MAX_COUNT).cloned().collect(),
-                },
+                facts: message::Facts { limits, crashes },
                 digest: own_digest,
                 wants_reply: wants_reply && n + 1 == parts_count,
             }
@@ -203,6 +258,12 @@
     }
 }
 
+/// Returns up to `count` facts from the one at `first`.
+fn part<V>(facts: &[board::Fact<V>], first: usize, count: usize) -> &[board::Fact<V>] {
+    let first = first.min(facts.len());
+    &facts[first..facts.len().min(first + count)]
+}
+
 fn fresh<V>(key: u64, value: V) -> board::Fact<V> {
     board::Fact {
         key,
--- /dev/null
+++ b/crates/gossip/tests/crashes.rs
@@ -0,0 +1,98 @@
+//! Evidence on requests under which servers crashed.
+
+use nutmegdale_base::rng::Rng;
+use nutmegdale_base::{clock, rng};
+use nutmegdale_gossip::board::Value;
+use nutmegdale_gossip::crashes::{self, Evidence};
+use nutmegdale_gossip::state;
+
+const KEY: u64 = 7;
+
+fn evidence(round: u32, servers: &[u32]) -> Evidence {
+    let servers = servers.to_vec();
+    Evidence { round, servers }
+}
+
+fn merged(a: &Evidence, b: &Evidence) -> Evidence {
+    let mut merged = a.clone();
+    merged.merge(b);
+    merged
+}
+
+fn random(rng: &mut rng::SplitMix64) -> Evidence {
+    let mut servers: Vec<_> = (0..rng.below(4)).map(|_| rng.below(6) as u32).collect();
+    servers.sort_unstable();
+    servers.dedup();
+    evidence(rng.below(3) as u32, &servers)
+}
+
+/// Guards against processes that disagree after they got the same evidence in another order.
+#[test]
+fn order_of_evidence_does_not_matter() {
+    let mut rng = rng::SplitMix64::new(11);
+    for _ in 0..2_000 {
+        let (a, b, c) = (random(&mut rng), random(&mut rng), random(&mut rng));
+        assert_eq!(merged(&a, &b), merged(&b, &a));
+        assert_eq!(merged(&merged(&a, &b), &c), merged(&a, &merged(&b, &c)));
+        assert_eq!(merged(&a, &a), a);
+    }
+}
+
+/// Guards against a ban for fewer crashes, for several crashes of one incarnation, or for crashes from
+/// before the request was served.
+#[test]
+fn three_servers_ban_a_request_unless_it_was_served() {
+    let mut state = state::State::new();
+    let now = clock::Millis(1_000);
+    let is_banned = |state: &state::State| state.crashes.get(KEY).is_some_and(Evidence::is_ban);
+    assert!(state.accuse(now, KEY, 1));
+    assert!(!state.accuse(now, KEY, 1), "the same incarnation");
+    assert!(state.accuse(now, KEY, 2));
+    assert!(!is_banned(&state));
+    assert!(state.accuse(now, KEY, 3));
+    assert!(is_banned(&state));
+    assert!(!state.accuse(now, KEY, 4), "banned already");
+    assert!(state.clear(now, KEY));
+    assert!(!is_banned(&state));
+    assert!(!state.clear(now, KEY), "cleared already");
+    assert!(!state.accuse(now, KEY, 5), "immune for a while");
+    let later = now + clock::Millis(30_000);
+    assert!(state.accuse(later, KEY, 5));
+    assert!(!is_banned(&state));
+}
+
+/// Guards against a request that many callers need and that is banned for the crashes of another
+/// one: it runs on every server that crashes, and is served by all others.
+#[test]
+fn request_that_is_served_elsewhere_is_not_banned() {
+    let mut state = state::State::new();
+    let mut rng = rng::SplitMix64::new(3);
+    for second in 0..600 {
+        let now = clock::Millis(second * 1_000);
+        for _ in 0..rng.below(3) {
+            state.accuse(now, KEY, rng.next_u64() as u32);
+        }
+        state.clear(now, KEY);
+        assert!(!state.crashes.get(KEY).is_some_and(Evidence::is_ban));
+    }
+}
+
+/// Guards against bans that are pushed out by requests with ever new paths, and against evidence
+/// without bound in number and time.
+#[test]
+fn bans_outlive_a_flood_of_other_requests() {
+    let mut state = state::State::new();
+    let now = clock::Millis(1_000);
+    for server in 1..=3 {
+        state.accuse(now, KEY, server);
+    }
+    for key in 100..20_000 {
+        state.accuse(now + clock::Millis(key), key, 9);
+    }
+    assert_eq!(state.crashes.len(), 4_096);
+    assert!(state.crashes.get(KEY).is_some_and(Evidence::is_ban));
+    state.expire(now + clock::Millis(crashes::BAN_MS.0 - 1));
+    assert_eq!(state.crashes.len(), 1, "only the ban");
+    state.expire(now + crashes::BAN_MS);
+    assert!(state.crashes.is_empty());
+}
--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -118,7 +118,7 @@
                 continue;
             }
             let received = process.state.receive(now, &sent.message);
-            if !received.limits.is_empty() {
+            if received.has_news() {
                 process.next_round_ms = process.next_round_ms.min(now_ms);
             }
             for reply in received.replies {
@@ -279,7 +279,7 @@
         "a confirmation"
     );
     let expired = state.expire(now + server_limits::LIFETIME_MS);
-    assert_eq!((expired.len(), state.limits.len()), (4_095, 1));
+    assert_eq!((expired.limits.len(), state.limits.len()), (4_095, 1));
     let old = board::Fact {
         key: 1,
         age: server_limits::LIFETIME_MS,
