gateway, entry: a status outside 200 to 599 is no answer of a server

Checked here: the HTTP library rejects 000 and everything below 100, statuses that are no number, and heads that are cut in the status. It accepts 600 to 999 and 101, and both paths of a request forwarded them with the server's headers.

Such a response now ends its attempt like bytes that are no response: the outcome is unknown, the caller gets 502, and it counts as a failure of the server. Health checks are rejected likewise.

The test invalid_status_is_no_answer failed before at the status 600 (the caller got 600) and passes; it covers 000, 0, 099, 101, 600, 999, 2000, no digits and four cut heads, for idempotent and one-time requests.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -92,6 +92,10 @@
         // Dropping the sender closes the connection, which cancels the request at the server.
         Err(_) => return AttemptResult::Unknown(Reason::Deadline),
     };
+    if !head::is_final_status(response.status()) {
+        in_flight.record_failure();
+        return AttemptResult::Unknown(Reason::BrokenAnswer);
+    }
     in_flight.record_load_report(load_report(response.headers()));
     let refused = response.headers().get(&head::REFUSED);
     if refused.is_some_and(|value| value == "not-run") {
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -41,6 +41,13 @@
         || *name == PROXY_CONNECTION
 }
 
+/// Returns whether a status can be that of a final response. The HTTP library also accepts statuses
+/// from 600 to 999, which no caller understands, and a switch of protocols that nobody asked for; it
+/// rejects those below 100 itself.
+pub fn is_final_status(status: hyper::StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Removes the hop-by-hop headers, including those that `Connection` lists.
 ///
 /// Framing headers stay, since the HTTP library derives the framing of the next connection from
--- a/crates/entry/tests/head.rs
+++ b/crates/entry/tests/head.rs
@@ -82,3 +82,19 @@
     assert_ne!(id, head::request_id(0xab, 0x11));
     assert_ne!(id, head::request_id(0xac, 0x10));
 }
+
+/// Guards against a status that no caller understands, or a switch of protocols, that is forwarded as
+/// an answer.
+#[test]
+fn only_statuses_of_final_responses_are_answers() {
+    let is_final = |status: u16| hyper::StatusCode::from_u16(status).map(head::is_final_status);
+    for status in [200, 204, 404, 500, 599] {
+        assert!(matches!(is_final(status), Ok(true)), "{status}");
+    }
+    for status in [100, 101, 199, 600, 999] {
+        assert!(matches!(is_final(status), Ok(false)), "{status}");
+    }
+    for status in [0, 99, 1_000] {
+        assert!(is_final(status).is_err(), "{status}");
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use nutmegdale_accounts::identify;
 use nutmegdale_base::{clock, outcome};
 use nutmegdale_dispatch::{estimate, health, placement, server_limit, signal};
+use nutmegdale_entry::head as entry_head;
 use nutmegdale_rpc::listen;
 use std::pin;
 use std::sync;
@@ -277,6 +278,9 @@
         response: hyper::Response<body::Incoming>,
     ) -> AttemptResult {
         let (head, incoming) = response.into_parts();
+        if !entry_head::is_final_status(head.status) {
+            return broken(in_flight, health::Failure::Answer);
+        }
         let length = body::Body::size_hint(&incoming).lower();
         request_bytes(shared, &self.backend)
             .received
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -6,6 +6,7 @@
 use nutmegdale_admission::bucket;
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::{health, placement, server_limit};
+use nutmegdale_entry::head as entry_head;
 use nutmegdale_rpc::listen;
 use std::sync;
 use std::time;
@@ -190,6 +191,9 @@
         () = interim.exceeded() => return Err(ProbeError::Failed(health::Failure::Answer)),
     };
     let (head, body) = response.into_parts();
+    if !entry_head::is_final_status(head.status) {
+        return Err(ProbeError::Failed(health::Failure::Answer));
+    }
     bytes
         .received
         .inc_by(server_traffic::head_bytes(&head.headers));
--- a/crates/gateway/tests/misbehaving_servers.rs
+++ b/crates/gateway/tests/misbehaving_servers.rs
@@ -203,3 +203,64 @@
         }
     }
 }
+
+/// Guards against a status that is none in the protocol and that a caller gets as an answer: it ends
+/// the attempt like bytes that are no response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn invalid_status_is_no_answer() {
+    let lines = [
+        "HTTP/1.1 000 Trouble",
+        "HTTP/1.1 000",
+        "HTTP/1.1 0 Trouble",
+        "HTTP/1.1 099 Trouble",
+        "HTTP/1.1 600 Trouble",
+        "HTTP/1.1 999 Trouble",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 two OK",
+        "HTTP/1.1 -20 OK",
+        "HTTP/1.1  OK",
+    ];
+    for class in [class::Class::UrgentLookup, class::Class::OneTimeFiling] {
+        for line in lines {
+            let respond = move |_: usize, head: &str| match is_health_check(head) {
+                true => Output::Bytes(OK_HEALTH.to_owned()),
+                false => {
+                    let headers = format!("signed: 1\r\nid: {}\r\n", id_of(head));
+                    let rest = "content-length: 2\r\n\r\nok";
+                    Output::Bytes(format!("{line}\r\n{headers}{rest}"))
+                }
+            };
+            check_no_answer(class, line, respond).await;
+        }
+        for cut in [
+            "HTTP/1.1 ",
+            "HTTP/1.1 2",
+            "HTTP/1.1 200",
+            "HTTP/1.1 200 OK\r\n",
+        ] {
+            let respond = move |_: usize, head: &str| match is_health_check(head) {
+                true => Output::Bytes(OK_HEALTH.to_owned()),
+                false => Output::Close(cut.to_owned()),
+            };
+            check_no_answer(class, cut, respond).await;
+        }
+    }
+}
+
+const OK_HEALTH: &str = "HTTP/1.1 200 OK\r\nload: 0 0 4 100\r\ncontent-length: 0\r\n\r\n";
+
+/// Sends a request to a server that answers with `text`, and checks that its caller is told that the
+/// outcome is unknown.
+async fn check_no_answer(
+    class: class::Class,
+    text: &str,
+    respond: impl Fn(usize, &str) -> Output + Send + Sync + 'static,
+) {
+    let server = RawServer::start(&Default::default(), respond).await;
+    let harness = stub::Harness::start_with(class, &[server.address]).await;
+    let response = harness.send("first").await;
+    assert_eq!(response.status, 502, "{text:?}, {class:?}");
+    assert_eq!(response.body, "", "{text:?}");
+    assert_eq!(server.arrivals("first"), 1, "{text:?}");
+}
