gateway: the check whether a server has crashed keeps its connection

The check after a broken connection opened one to the server and closed it again, which costs the server a moment of a slot each time and is wasted if the server works. It now takes a connection from the pool of the server, a kept one if there is one, and returns it. The pool tells a refused connection from one that could not be established.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -120,7 +120,7 @@
         Ok(Err(pool::Error::Full)) => {
             return AttemptResult::NotRun(outcome::Reason::Overload, false);
         }
-        Ok(Err(pool::Error::Connect)) => {
+        Ok(Err(pool::Error::Connect | pool::Error::Refused)) => {
             in_flight.record_failure(health::Failure::Connect);
             return AttemptResult::NotRun(outcome::Reason::Connect, false);
         }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -6,19 +6,16 @@
 //! cause. The evidence is a fact that all processes share. See
 //! [docs/design/crashing-requests.md](../../../docs/design/crashing-requests.md).
 
-use crate::{backend, fingerprint, metrics, rollouts, state};
+use crate::{backend, fingerprint, metrics, opened, pool, rollouts, state};
+use nutmegdale_base::clock;
 use nutmegdale_dispatch::crash;
 use nutmegdale_gossip::crashes;
-use std::io;
 use std::sync;
 use std::time;
-use tokio::net::TcpStream;
 
 /// Time from the end of a connection to the check. The other connections of a crashed server have
 /// ended by then.
 const CHECK_DELAY_MS: u64 = 60;
-/// Timeout of the check.
-const CHECK_TIMEOUT_MS: u64 = 400;
 /// Requests at one server that are remembered until the check; a server runs fewer of one process.
 const SUSPECTS_MAX_COUNT: usize = 64;
 
@@ -61,7 +58,7 @@
 /// Blames the suspects if the server has crashed.
 async fn check(shared: sync::Arc<state::Shared>, backend: sync::Arc<backend::Backend>) {
     tokio::time::sleep(time::Duration::from_millis(CHECK_DELAY_MS)).await;
-    let is_crashed = backend.is_open() && refuses_connections(&backend).await;
+    let is_crashed = backend.is_open() && refuses_connections(&shared, &backend).await;
     let suspects = std::mem::take(&mut *backend.suspects.lock());
     if !is_crashed || !backend.is_open() {
         return;
@@ -85,12 +82,16 @@
 }
 
 /// Returns whether nothing listens at the address of a server. No answer is no evidence: the server
-/// or the link may be down for another reason.
-async fn refuses_connections(backend: &backend::Backend) -> bool {
-    let timeout = time::Duration::from_millis(CHECK_TIMEOUT_MS);
-    let connect = TcpStream::connect(backend.announcement.address);
-    match tokio::time::timeout(timeout, connect).await {
-        Ok(Err(err)) => err.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+/// or the link may be down for another reason. A connection that shows that the server works is kept
+/// for the next request.
+async fn refuses_connections(shared: &state::Shared, backend: &backend::Backend) -> bool {
+    let now = shared.clock.now();
+    match backend.pool.checkout(now, clock::Millis::MAX).await {
+        Ok(connection) => {
+            shared.count_opened(opened::Reason::HealthCheck, &connection);
+            backend.pool.checkin(now, connection, None);
+            false
+        }
+        Err(err) => err == pool::Error::Refused,
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt;
 use nutmegdale_base::clock;
 use nutmegdale_rpc::listen;
+use std::io;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -44,6 +45,8 @@
 pub enum Error {
     /// No connection could be established.
     Connect,
+    /// Nothing listens at the address.
+    Refused,
     /// This process has used up its share of the server's connections.
     Full,
 }
@@ -151,8 +154,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Full`] if the limit of open connections is reached, or [`Error::Connect`]
-    /// if a new connection cannot be established. In both cases no request was sent.
+    /// Returns [`Error::Full`] if the limit of open connections is reached, and [`Error::Refused`] or
+    /// [`Error::Connect`] if a new connection cannot be established. No request was sent then.
     pub async fn checkout(
         &self,
         now: clock::Millis,
@@ -200,7 +203,10 @@
         let timeout = time::Duration::from_millis(CONNECT_TIMEOUT_MS.0);
         let connected = tokio::time::timeout(timeout, TcpStream::connect(self.address)).await;
         let stream = connected.map_err(|_| Error::Connect)?;
-        let stream = stream.map_err(|_| Error::Connect)?;
+        let stream = stream.map_err(|err| match err.kind() {
+            io::ErrorKind::ConnectionRefused => Error::Refused,
+            _ => Error::Connect,
+        })?;
         stream.set_nodelay(true).map_err(|_| Error::Connect)?;
         let unacknowledged = time::Duration::from_millis(UNACKNOWLEDGED_MS);
         let socket = socket2::SockRef::from(&stream);
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -148,7 +148,7 @@
         .checkout(shared.clock.now(), clock::Millis::MAX)
         .await;
     let connection = checkout.map_err(|err| match err {
-        pool::Error::Connect => ProbeError::Failed(health::Failure::Connect),
+        pool::Error::Connect | pool::Error::Refused => ProbeError::Failed(health::Failure::Connect),
         pool::Error::Full => ProbeError::NoConnection,
     })?;
     shared.count_opened(opened::Reason::HealthCheck, &connection);
