--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,13 +4,12 @@
 //! or cut off costs one lost datagram and delays nothing; the loss of some is part of the design. See
 //! [docs/design/gossip.md](../../../docs/design/gossip.md).
 
-use crate::{fingerprint, metrics, state, table};
+use crate::{datagram, fingerprint, metrics, state, table};
 use arc_swap::ArcSwap;
-use nutmegdale_base::{clock, digest};
+use nutmegdale_base::clock;
 use nutmegdale_dispatch::server_limit;
 use nutmegdale_gossip::{crashes, message, peers, server_limits, state as facts};
 use nutmegdale_telemetry::metrics as telemetry;
-use sha2::Digest;
 use std::collections;
 use std::io;
 use std::net;
@@ -19,10 +18,6 @@
 use std::time;
 use tokio::net::UdpSocket;
 
-/// Version of the format of datagrams; those of other versions are ignored.
-const FORMAT: u8 = 1;
-/// Size of the authentication code of a datagram, in bytes.
-const CODE_BYTES: usize = 8;
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_MAX_BYTES: usize = 4_096;
 /// Time for the first configuration, which names the peers, before it is asked for again.
@@ -274,7 +269,7 @@
             }
         };
         metrics::increment(&shared.gossip.received);
-        let Some(message) = decode(token, &buf[..len]) else {
+        let Some(message) = datagram::decode(token, &buf[..len]) else {
             metrics::increment(&shared.gossip.rejected);
             continue;
         };
@@ -347,7 +342,7 @@
     peer: net::SocketAddr,
     message: &message::Message,
 ) {
-    let Some(datagram) = encode(&shared.settings.cluster_token, message) else {
+    let Some(datagram) = datagram::encode(&shared.settings.cluster_token, message) else {
         return;
     };
     // A datagram that is not sent counts as lost; later ones repeat its facts.
@@ -357,34 +352,3 @@
         bytes.fetch_add(datagram.len() as u64, atomic::Ordering::Relaxed);
     }
 }
-
-/// Returns the authentication code of a message under the cluster token.
-fn code(token: &str, body: &[u8]) -> [u8; CODE_BYTES] {
-    let mut hasher = sha2::Sha256::new();
-    hasher.update((token.len() as u64).to_be_bytes());
-    hasher.update(token.as_bytes());
-    hasher.update(body);
-    let mut code = [0; CODE_BYTES];
-    code.copy_from_slice(&hasher.finalize()[..CODE_BYTES]);
-    code
-}
-
-fn encode(token: &str, message: &message::Message) -> Option<Vec<u8>> {
-    let body = rmp_serde::to_vec(message).ok()?;
-    let mut datagram = Vec::with_capacity(1 + CODE_BYTES + body.len());
-    datagram.push(FORMAT);
-    datagram.extend_from_slice(&code(token, &body));
-    datagram.extend_from_slice(&body);
-    Some(datagram)
-}
-
-fn decode(token: &str, datagram: &[u8]) -> Option<message::Message> {
-    let (format, rest) = datagram.split_first()?;
-    let (stated, body) = rest.split_at_checked(CODE_BYTES)?;
-    // Hashes are compared, so the time of the comparison says nothing about the code.
-    let is_authentic = digest::of(stated) == digest::of(&code(token, body)[..]);
-    if *format != FORMAT || !is_authentic {
-        return None;
-    }
-    rmp_serde::from_slice(body).ok()
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod call;
 pub mod caller;
 pub mod crashes;
+mod datagram;
 pub mod decisions;
 pub mod dialect;
 pub mod directory;
