dispatch, gateway: a new sender to a limited server waits for one interval

A process that became a sender, because another one left or because it had just learned of the limit, had its first permit and a saved one at once, on top of what the former sender sent a moment before. With a limit of 1.3 a second and one change of senders, the worst case was 13.8 requests in 4 s, by calculation, where 12.8 are allowed; no run showed it.

The pacer of a new sender begins empty. Test: new_sender_begins_after_its_ interval; the simulations of lists that differ start pacers likewise.

--- a/crates/dispatch/src/server_rate.rs
+++ b/crates/dispatch/src/server_rate.rs
@@ -117,6 +117,13 @@
         clock::Millis(due_ms.saturating_sub(advance)).since(now)
     }
 
+    /// Begins anew, without saved requests: the first one is due after the interval. Another process
+    /// may have sent until now in the place of this one.
+    pub fn start(&self, now: clock::Millis, share: &Share) {
+        let first = now + share.spacing + clock::Millis(Pacer::advance(share, 0));
+        self.due_ms.fetch_max(first.0, atomic::Ordering::AcqRel);
+    }
+
     /// Claims the permit for one request now; returns whether it was available.
     pub fn take(&self, now: clock::Millis, share: &Share, kept_count: u32) -> bool {
         let order = atomic::Ordering::AcqRel;
--- a/crates/dispatch/tests/server_limits.rs
+++ b/crates/dispatch/tests/server_limits.rs
@@ -47,6 +47,7 @@
         .collect();
     let mut rng = rng::SplitMix64::new(5);
     let mut sent = Vec::new();
+    let mut were_senders = vec![false; nodes.len()];
     for ms in 0..RUN_MS {
         for (own, pacer) in pacers.iter().enumerate() {
             if rng.below(1_000_000) >= (demand_per_s * 1_000.0) as u64 {
@@ -56,6 +57,10 @@
             let listed: Vec<_> = listed.map(|other| nodes[other]).collect();
             let rank = server_rate::Rank::new(&nodes[own], &listed, &server);
             let share = server_limit::share(rate(limit_per_s), &rank);
+            let was_sender = std::mem::replace(&mut were_senders[own], share.is_some());
+            if let Some(share) = share.filter(|_| !was_sender) {
+                pacer.start(clock::Millis(ms), &share);
+            }
             if share.is_some_and(|share| pacer.take(clock::Millis(ms), &share, 0)) {
                 sent.push(ms);
             }
@@ -112,6 +117,23 @@
     }
 }
 
+/// Guards against a process that becomes a sender and begins with a request that the former sender may
+/// have sent a moment before.
+#[test]
+fn new_sender_begins_after_its_interval() {
+    let share = server_rate::Share {
+        spacing: clock::Millis(1_000),
+        saved_max_count: 1,
+    };
+    let pacer = server_rate::Pacer::default();
+    let now = clock::Millis(50_000);
+    pacer.start(now, &share);
+    assert!(!pacer.take(now, &share, 0));
+    assert!(!pacer.take(now + clock::Millis(999), &share, 0));
+    assert!(pacer.take(now + clock::Millis(1_000), &share, 0));
+    assert!(!pacer.take(now + clock::Millis(1_000), &share, 0));
+}
+
 /// Guards against limits of zero, or nearly so, that are never tried again, and against very high ones
 /// that keep processes out.
 #[test]
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -200,9 +200,30 @@
     /// Sets the place of this process among those that share the rate of the server. `digest`
     /// identifies what the ranking depends on; for an unchanged digest `rank` is not evaluated,
     /// since servers and configurations change more often than processes do.
-    pub fn set_ranking(&self, digest: u64, rank: impl FnOnce() -> Ranking) {
+    pub fn set_ranking(&self, now: clock::Millis, digest: u64, rank: impl FnOnce() -> Ranking) {
         if self.ranking_digest.swap(digest, atomic::Ordering::Relaxed) != digest {
+            let share_before = self.limit_share();
             self.ranking.store(sync::Arc::new(rank()));
+            self.start_limit_pacer(now, share_before);
+        }
+    }
+
+    /// Sets the rate limit that the server names; returns the one before.
+    pub fn set_limit(
+        &self,
+        now: clock::Millis,
+        limit: Option<server_limit::Rate>,
+    ) -> Option<server_limit::Rate> {
+        let share_before = self.limit_share();
+        let before = self.limit.set(now, limit);
+        self.start_limit_pacer(now, share_before);
+        before
+    }
+
+    /// Starts the pacer of the limit if this process has become one of its senders.
+    fn start_limit_pacer(&self, now: clock::Millis, before: Option<server_rate::Share>) {
+        if let (None, Some(share)) = (before, self.limit_share()) {
+            self.limit_pacer.start(now, &share);
         }
     }
 
@@ -236,16 +257,18 @@
             let share = self.ranking.load().cold_share?;
             left = self.cold_pacer.time_left(now, &share, 0);
         }
-        if let Some(limit) = self.limit.get() {
-            let share = self.limit_share(limit)?;
+        if self.limit.get().is_some() {
+            let share = self.limit_share()?;
             left = left.max(self.limit_pacer.time_left(now, &share, kept_count));
         }
         Some(left)
     }
 
-    fn limit_share(&self, limit: server_limit::Rate) -> Option<server_rate::Share> {
-        let ranking = self.ranking.load();
-        server_limit::share(limit, &ranking.rank)
+    /// Returns the share of this process in the limit of the server; `None` if there is no limit or
+    /// only others may send.
+    fn limit_share(&self) -> Option<server_rate::Share> {
+        let limit = self.limit.get()?;
+        server_limit::share(limit, &self.ranking.load().rank)
     }
 
     /// Returns whether the rate limits of the server allow a request now.
@@ -262,26 +285,23 @@
             let share = self.ranking.load().cold_share?;
             self.cold_pacer.take(now, &share, 0).then_some(())?;
         }
-        let limit = self.limit.get();
-        if let Some(limit) = limit {
-            let share = self.limit_share(limit)?;
+        let has_limit = self.limit.get().is_some();
+        if has_limit {
+            let share = self.limit_share()?;
             let is_taken = self.limit_pacer.take(now, &share, kept_count);
             is_taken.then_some(())?;
         }
-        Some(Permit {
-            has_limit: limit.is_some(),
-        })
+        Some(Permit { has_limit })
     }
 
     /// Returns whether a permit still allows its request. The server may have named a limit since
     /// the permit was acquired; then the request needs one of the limit.
     pub fn confirm(&self, now: clock::Millis, permit: Permit) -> bool {
-        match self.limit.get() {
-            Some(limit) if !permit.has_limit => self
-                .limit_share(limit)
-                .is_some_and(|share| self.limit_pacer.take(now, &share, 0)),
-            _ => true,
+        if permit.has_limit || self.limit.get().is_none() {
+            return true;
         }
+        self.limit_share()
+            .is_some_and(|share| self.limit_pacer.take(now, &share, 0))
     }
 
     /// Returns the time until the server takes requests again that it does not take now, as it
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -209,9 +209,7 @@
         let key = server_limits::key(backend.id(), backend.announcement.born);
         let named = state.limits.get(key);
         if let Some(milli_per_s) = named.and_then(|named| named.milli_per_s) {
-            backend
-                .limit
-                .set(now, Some(server_limit::Rate { milli_per_s }));
+            backend.set_limit(now, Some(server_limit::Rate { milli_per_s }));
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -352,7 +352,7 @@
         if backend.limit.get() == limit {
             return;
         }
-        let before = backend.limit.set(now, limit);
+        let before = backend.set_limit(now, limit);
         metrics::increment(&self.metrics.limits_changed);
         let change = decisions::LimitChange {
             before,
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -301,7 +301,7 @@
         let ranking_digest = digest::of(&(processes.digest, cold_per_s.to_bits())).max(1);
         for backend in &backends {
             let announcement = &backend.announcement;
-            backend.set_ranking(ranking_digest, || {
+            backend.set_ranking(now, ranking_digest, || {
                 let server = server_rate::Node::new(&announcement.id, &announcement.zone);
                 let rank = server_rate::Rank::new(&own_node, processes.nodes(), &server);
                 backend::Ranking {
