gateway, gossip: fewer servers end before a request that crashes them is known

A process retried it at a second server although a crash was laid to it already, and told its news each 200 ms.

A request to which a crash is laid, and whose connection breaks once more, is not retried; its outcome is unknown. News is told each 100 ms, to as many peers as before. nutmegctl explain prints the lines of crashes and of limits with those of a request.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -20,7 +20,7 @@
 /// Message of the log line of a request.
 const REQUEST_MESSAGE: &str = "request decided";
 /// Messages about state changes of a process.
-const PROCESS_MESSAGES: [&str; 10] = [
+const PROCESS_MESSAGES: [&str; 12] = [
     "registry taken up",
     "coordinator followed",
     "coordinator lost",
@@ -31,6 +31,8 @@
     "configuration cannot be decoded",
     "server is leaving",
     "server asked for a backoff",
+    "server limit changed",
+    "server crashed",
 ];
 
 /// Parsed log line.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -353,6 +353,10 @@
                 if let Some(fingerprint) = self.fingerprint(call) {
                     call.trace.push_fingerprint(fingerprint);
                     crashes::suspect(call.shared, &ended.backend, fingerprint);
+                    // A retry of a request that has crashed servers would crash the next one.
+                    if call.shared.gossip.crashes_count(fingerprint) > 0 {
+                        self.is_retryable = false;
+                    }
                 }
                 self.on_unknown(reason, is_last)
             }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -92,11 +92,15 @@
         !self.accused.load().is_empty()
     }
 
+    /// Returns how many crashes are laid to a request.
+    pub(crate) fn crashes_count(&self, fingerprint: fingerprint::Fingerprint) -> usize {
+        let accused = self.accused.load();
+        accused.get(&fingerprint).copied().unwrap_or(0)
+    }
+
     /// Returns whether a request is banned.
     pub(crate) fn is_banned(&self, fingerprint: fingerprint::Fingerprint) -> bool {
-        let accused = self.accused.load();
-        let crashes_count = accused.get(&fingerprint);
-        crashes_count.is_some_and(|count| *count >= crashes::BAN_COUNT)
+        self.crashes_count(fingerprint) >= crashes::BAN_COUNT
     }
 
     /// Lays the crash of a server to a request, and tells the other processes.
--- a/crates/gossip/src/state.rs
+++ b/crates/gossip/src/state.rs
@@ -11,7 +11,7 @@
 /// Facts of one message, which then fits into a datagram that no link splits.
 const FACTS_MAX_COUNT: usize = 32;
 /// Interval between two rounds in which news is told.
-pub const NEWS_INTERVAL_MS: clock::Millis = clock::Millis(200);
+pub const NEWS_INTERVAL_MS: clock::Millis = clock::Millis(100);
 /// Interval between two comparisons of a process that holds facts.
 pub const COMPARE_INTERVAL_MS: clock::Millis = clock::Millis(500);
 /// Peers with which a process compares its facts after a start or a suspension.
