--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -13,6 +13,8 @@
 const STEP_MS: u64 = 20;
 const REGIONS: [&str; 3] = ["north", "south", "west"];
 const KEY: u64 = 7;
+/// Format and authentication code of a datagram, in bytes.
+const HEAD_BYTES: usize = 9;
 
 struct Process {
     state: state::State,
@@ -37,6 +39,9 @@
     /// Processes that only reach each other.
     island: collections::BTreeSet<usize>,
     sent_count: u64,
+    /// Bytes of all messages, and of those to other regions.
+    sent_bytes: u64,
+    far_bytes: u64,
 }
 
 fn address(n: usize) -> net::SocketAddr {
@@ -71,6 +76,8 @@
             loss_percent,
             island: collections::BTreeSet::new(),
             sent_count: 0,
+            sent_bytes: 0,
+            far_bytes: 0,
         }
     }
 
@@ -156,6 +163,12 @@
 
     fn send(&mut self, from: usize, to: usize, message: message::Message) {
         self.sent_count += 1;
+        let body = rmp_serde::to_vec(&message).expect("a message can be encoded");
+        let bytes = (HEAD_BYTES + body.len()) as u64;
+        self.sent_bytes += bytes;
+        if region(from) != region(to) {
+            self.far_bytes += bytes;
+        }
         let is_cut = self.island.contains(&from) != self.island.contains(&to);
         if is_cut || self.rng.below(100) < self.loss_percent {
             return;
@@ -303,3 +316,43 @@
     assert!(state.observe_limit(now, KEY, None));
     assert!(!state.observe_limit(now, KEY, None));
 }
+
+/// Guards against an exchange that takes more of a process than the target size allows for all its
+/// control traffic, while dozens of servers change their limits each second.
+#[test]
+fn bytes_stay_within_the_budget_of_a_process() {
+    /// Bytes a second that a process may send for control.
+    const BUDGET_BYTES: u64 = 19_000;
+    const CHANGES_PER_S: u64 = 24;
+    const SECONDS: u64 = 10;
+    for count in [16, 132, 315] {
+        let mut network = Network::start(count, 4, 1);
+        network.run_for(4_000);
+        let before = (network.sent_bytes, network.far_bytes);
+        let started_ms = network.now_ms;
+        for n in 0..SECONDS * CHANGES_PER_S {
+            let now = network.now();
+            let observer = n as usize * 7 % count;
+            let process = &mut network.processes[observer];
+            let milli_per_s = 1_000 + 500 * ((n + n / 60) as u32 % 5);
+            if process
+                .state
+                .observe_limit(now, 100 + n % 60, Some(milli_per_s))
+            {
+                process.next_round_ms = network.now_ms;
+            }
+            network.run_for(1_000 / CHANGES_PER_S / STEP_MS * STEP_MS);
+        }
+        let took_ms = network.now_ms - started_ms;
+        let per_second = |bytes: u64| bytes * 1_000 / took_ms / count as u64;
+        let sent = per_second(network.sent_bytes - before.0);
+        let far = per_second(network.far_bytes - before.1);
+        println!("{count} processes: {sent} bytes a second each, {far} to other regions");
+        assert!(
+            sent <= BUDGET_BYTES,
+            "{count} processes: {sent} bytes a second"
+        );
+        // Processes without others in their region, as in some small deployments, tell only those.
+        assert!(far * 2 <= sent, "{far} of {sent} bytes to other regions");
+    }
+}
