gateway: every response of the service without a limit counts as its end

Only 2xx responses ended a limit, so a server whose requests are all answered 404 would have stayed limited when it no longer named one. Every signed response counts now that is no refusal and no server error.

--- a/crates/dispatch/src/server_limit.rs
+++ b/crates/dispatch/src/server_limit.rs
@@ -50,8 +50,8 @@
 
 /// Value of [`Current`] without a limit.
 const NO_LIMIT: u64 = u64::MAX;
-/// Successful responses in a row without a limit that end it. A faulty server may leave the header
-/// out of one of them.
+/// Responses of the service in a row without a limit that end it. A faulty server may leave the
+/// header out of one of them.
 const CLEAR_COUNT: u32 = 2;
 
 /// Limit of one incarnation of a server, as an entry process knows it.
@@ -60,7 +60,7 @@
     milli_per_s: atomic::AtomicU64,
     /// Time at which the limit was last changed, in milliseconds.
     changed_ms: atomic::AtomicU64,
-    /// Successful responses in a row that named no limit.
+    /// Responses of the service in a row that named no limit.
     clear_count: atomic::AtomicU32,
 }
 
@@ -81,9 +81,9 @@
     pub stated: Stated,
     /// Time at which its request was sent.
     pub sent_at: clock::Millis,
-    /// Whether it is a complete and successful response to a request. The absence of a limit from
-    /// others, such as a rejection by something in front of the server, says nothing.
-    pub is_success: bool,
+    /// Whether it shows that the service ran the request and did not fail. The absence of a limit from
+    /// other responses, such as a rejection by something in front of the server, says nothing.
+    pub is_from_service: bool,
 }
 
 fn decode(milli_per_s: u64) -> Option<Rate> {
@@ -120,7 +120,7 @@
                 let changed = clock::Millis(self.changed_ms.load(atomic::Ordering::Acquire));
                 // A request that was sent before the limit was known may have been answered before
                 // the server named it.
-                if !observation.is_success || observation.sent_at < changed {
+                if !observation.is_from_service || observation.sent_at < changed {
                     return None;
                 }
                 let before_count = self.clear_count.fetch_add(1, atomic::Ordering::Relaxed);
--- a/crates/dispatch/tests/server_limits.rs
+++ b/crates/dispatch/tests/server_limits.rs
@@ -169,7 +169,7 @@
     server_limit::Observation {
         stated,
         sent_at: clock::Millis(sent_ms),
-        is_success: true,
+        is_from_service: true,
     }
 }
 
@@ -193,7 +193,7 @@
             "sent before"
         );
         let failure = server_limit::Observation {
-            is_success: false,
+            is_from_service: false,
             ..observation(none, 1_100)
         };
         assert_eq!(current.observe(&failure), None);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -301,7 +301,9 @@
         let observation = server_limit::Observation {
             stated: metadata.limit,
             sent_at: in_flight.started,
-            is_success: head.status.is_success() && is_valid,
+            is_from_service: metadata.is_signed
+                && !metadata.is_not_run
+                && !head.status.is_server_error(),
         };
         shared.record_limit(&self.backend, &observation);
         if metadata.is_not_run {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -223,7 +223,7 @@
         stated: metadata.limit,
         sent_at: now,
         // Servers name their limits in answers to requests; a health check may lack it.
-        is_success: false,
+        is_from_service: false,
     };
     shared.record_limit(backend, &observation);
     if let Some(report) = metadata.report {
