gossip, gateway, tests: usual terms for stored facts and for crashes

Names only: the facts are in a store, are sent instead of told, and crashes are attributed to suspected requests.

--- a/crates/dispatch/src/crash.rs
+++ b/crates/dispatch/src/crash.rs
@@ -1,4 +1,4 @@
-//! Decides which requests a crash of a server is laid to.
+//! Decides which requests a crash of a server is attributed to.
 //!
 //! A server runs several requests at once, of which one may have crashed it. One process sees only
 //! its own requests. Servers also crash without any request's fault, mostly many at once: a zone
@@ -9,23 +9,23 @@
 
 /// Time within which crashes of several servers count as one event.
 const EVENT_MS: clock::Millis = clock::Millis(300);
-/// Servers that crash in one event from which it is not laid to requests without earlier crashes. A
+/// Servers that crash in one event from which it is not attributed to requests without earlier crashes. A
 /// request that comes once reaches two servers at the most.
 const EVENT_MIN_COUNT: usize = 3;
 
-/// Returns the requests that are blamed for a crash, given those that ran and for each the number of
-/// crashes that were laid to it before. A request that ran under earlier crashes explains this one;
-/// without one, all are blamed, unless several servers crashed in one event.
-pub fn blamed<K: Copy>(running: &[(K, usize)], is_alone: bool) -> Vec<K> {
+/// Returns the requests that are suspected for a crash, given those that ran and for each the number of
+/// crashes that were attributed to it before. A request that ran under earlier crashes explains this one;
+/// without one, all are suspected, unless several servers crashed in one event.
+pub fn attributed<K: Copy>(running: &[(K, usize)], is_alone: bool) -> Vec<K> {
     let most = running
         .iter()
         .map(|(_, crashes_count)| *crashes_count)
         .max();
     let least_count = usize::from(!is_alone).max(most.unwrap_or(0));
-    let blamed = running
+    let attributed = running
         .iter()
         .filter(|(_, crashes_count)| *crashes_count >= least_count);
-    blamed.map(|(key, _)| *key).collect()
+    attributed.map(|(key, _)| *key).collect()
 }
 
 /// Recent crashes of servers, as one process sees them.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,7 +11,7 @@
 //! retries and hedges, [`split`] divides a route's requests among services, [`pressure`] measures
 //! how short of capacity a service is, [`precedence`] keeps slots free for urgent requests, as
 //! far as [`demand`] shows some, [`return_time`] tells refused callers when to return,
-//! [`crash`] which requests a crash of a server is laid to,
+//! [`crash`] which requests a crash of a server is attributed to,
 //! [`shedding`] tells a service that rejects a part of its requests from a server that fails, and
 //! [`admission`] decides whether a request can still be served in time. Nothing here depends on
 //! HTTP; the caller is `nutmegdale-gateway`.
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// Blames the suspects if the server has crashed.
+/// Attributes the crash to the suspects if the server has crashed.
 async fn check(shared: sync::Arc<state::Shared>, backend: sync::Arc<backend::Backend>) {
     tokio::time::sleep(time::Duration::from_millis(CHECK_DELAY_MS)).await;
     let is_crashed = backend.is_open() && refuses_connections(&shared, &backend).await;
@@ -71,13 +71,12 @@
     shared
         .decision_log
         .write_crash(now, &backend, suspects.len(), is_alone);
-    let known = shared.gossip.accused();
     let running: Vec<_> = suspects
         .iter()
-        .map(|suspect| (*suspect, known.get(suspect).copied().unwrap_or(0)))
+        .map(|suspect| (*suspect, shared.gossip.crashes_count(*suspect)))
         .collect();
-    for fingerprint in crash::blamed(&running, is_alone) {
-        shared.gossip.accuse(now, fingerprint, digest);
+    for fingerprint in crash::attributed(&running, is_alone) {
+        shared.gossip.record_crash(now, fingerprint, digest);
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -374,16 +374,16 @@
     /// Returns whether the request is banned, since servers crashed under it.
     fn is_banned(&mut self, call: &call::Call<'_>) -> bool {
         let gossip = &call.shared.gossip;
-        gossip.has_accused()
+        gossip.has_suspected()
             && self
                 .fingerprint(call)
                 .is_some_and(|fingerprint| gossip.is_banned(fingerprint))
     }
 
-    /// Notes that the request was served, so that no crash is laid to it.
+    /// Notes that the request was served, so that no crash is attributed to it.
     fn on_served(&mut self, call: &call::Call<'_>) {
         let gossip = &call.shared.gossip;
-        if !gossip.has_accused() {
+        if !gossip.has_suspected() {
             return;
         }
         if let Some(fingerprint) = self.fingerprint(call)
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -26,14 +26,14 @@
 const ERROR_PAUSE_MS: u64 = 100;
 
 /// Requests under which servers crashed, with the number of these servers.
-pub(crate) type Accused = collections::HashMap<fingerprint::Fingerprint, usize>;
+pub(crate) type Suspected = collections::HashMap<fingerprint::Fingerprint, usize>;
 
 /// Facts that this process holds, and what operators see of their exchange.
 #[derive(Debug)]
 pub struct Gossip {
     state: sync::Mutex<facts::State>,
     /// Copy of the facts on crashes for the path of a request.
-    accused: ArcSwap<Accused>,
+    suspected: ArcSwap<Suspected>,
     /// Notified when there is news for other processes.
     news: tokio::sync::Notify,
     sent: atomic::AtomicU64,
@@ -53,7 +53,7 @@
     pub fn new() -> Gossip {
         Gossip {
             state: sync::Mutex::new(facts::State::new()),
-            accused: ArcSwap::default(),
+            suspected: ArcSwap::default(),
             news: tokio::sync::Notify::new(),
             sent: atomic::AtomicU64::new(0),
             sent_bytes: atomic::AtomicU64::new(0),
@@ -69,7 +69,7 @@
     }
 
     /// Tells the other processes the limit that a server names, if it is news for them.
-    pub fn tell_limit(
+    pub fn publish_limit(
         &self,
         now: clock::Millis,
         server: (&str, u64),
@@ -82,20 +82,15 @@
         }
     }
 
-    /// Returns the requests under which servers crashed; empty in normal operation.
-    pub(crate) fn accused(&self) -> sync::Arc<Accused> {
-        self.accused.load_full()
-    }
-
     /// Returns whether servers have crashed under any request.
-    pub(crate) fn has_accused(&self) -> bool {
-        !self.accused.load().is_empty()
+    pub(crate) fn has_suspected(&self) -> bool {
+        !self.suspected.load().is_empty()
     }
 
-    /// Returns how many crashes are laid to a request.
+    /// Returns how many crashes are attributed to a request.
     pub(crate) fn crashes_count(&self, fingerprint: fingerprint::Fingerprint) -> usize {
-        let accused = self.accused.load();
-        accused.get(&fingerprint).copied().unwrap_or(0)
+        let suspected = self.suspected.load();
+        suspected.get(&fingerprint).copied().unwrap_or(0)
     }
 
     /// Returns whether a request is banned.
@@ -104,41 +99,41 @@
     }
 
     /// Lays the crash of a server to a request, and tells the other processes.
-    pub(crate) fn accuse(
+    pub(crate) fn record_crash(
         &self,
         now: clock::Millis,
         fingerprint: fingerprint::Fingerprint,
         server: u32,
     ) {
         let mut state = self.state();
-        if state.accuse(now, fingerprint.0, server) {
-            self.publish_accused(&state);
+        if state.record_crash(now, fingerprint.0, server) {
+            self.publish_suspected(&state);
             self.news.notify_one();
         }
     }
 
     /// Clears a request that was served, and tells the other processes; returns whether crashes were
-    /// laid to it.
+    /// attributed to it.
     pub(crate) fn clear(&self, now: clock::Millis, fingerprint: fingerprint::Fingerprint) -> bool {
-        if !self.accused.load().contains_key(&fingerprint) {
+        if !self.suspected.load().contains_key(&fingerprint) {
             return false;
         }
         let mut state = self.state();
         let is_news = state.clear(now, fingerprint.0);
         if is_news {
-            self.publish_accused(&state);
+            self.publish_suspected(&state);
             self.news.notify_one();
         }
         is_news
     }
 
-    fn publish_accused(&self, state: &facts::State) {
-        let accused = state.crashes.iter().filter(|(_, e)| !e.servers.is_empty());
-        let accused = accused.map(|(key, evidence)| {
+    fn publish_suspected(&self, state: &facts::State) {
+        let suspected = state.crashes.iter().filter(|(_, e)| !e.servers.is_empty());
+        let suspected = suspected.map(|(key, evidence)| {
             let fingerprint = fingerprint::Fingerprint(key);
             (fingerprint, evidence.servers.len())
         });
-        self.accused.store(sync::Arc::new(accused.collect()));
+        self.suspected.store(sync::Arc::new(suspected.collect()));
     }
 
     /// Compares the facts with those of several peers, after a time without contact.
@@ -156,8 +151,8 @@
             value: value.load(atomic::Ordering::Relaxed),
         };
         let limits_count = self.state().limits.len() as u64;
-        let accused = self.accused.load();
-        let banned = accused
+        let suspected = self.suspected.load();
+        let banned = suspected
             .values()
             .filter(|count| **count >= crashes::BAN_COUNT);
         [
@@ -188,10 +183,10 @@
                 value: limits_count,
             },
             telemetry::Sample {
-                name: "nutmegdale_accused_requests",
+                name: "nutmegdale_suspected_requests",
                 help: "Requests to which crashes of servers are laid, the banned ones included.",
                 kind: telemetry::Kind::Gauge,
-                value: accused.len() as u64,
+                value: suspected.len() as u64,
             },
             telemetry::Sample {
                 name: "nutmegdale_banned_requests",
@@ -223,7 +218,7 @@
 fn apply_changed(shared: &state::Shared, now: clock::Millis, received: &facts::Received) {
     if received.has_crashes {
         let state = shared.gossip.state();
-        shared.gossip.publish_accused(&state);
+        shared.gossip.publish_suspected(&state);
     }
     let keys = &received.limits;
     if keys.is_empty() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -338,7 +338,7 @@
         self.set_limit(backend, now, limit, "response");
         let server = &backend.announcement;
         self.gossip
-            .tell_limit(now, (&server.id, server.born), limit);
+            .publish_limit(now, (&server.id, server.born), limit);
     }
 
     /// Sets the limit of a server, as learned from `source`.
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -13,7 +13,7 @@
 
 /// Longer than the check whether a server has crashed.
 const CHECKED: time::Duration = time::Duration::from_millis(250);
-const ACCUSED: &str = "nutmegdale_accused_requests";
+const SUSPECTED: &str = "nutmegdale_suspected_requests";
 const BANNED: &str = "nutmegdale_banned_requests";
 
 const IDLE: &str = "HTTP/1.1 200 OK\r\nload: 0 0 4 100\r\ncontent-length: 0\r\n\r\n";
@@ -94,9 +94,9 @@
     }
 }
 
-/// Guards against a request that is accused since a working server broke off or sent no response.
+/// Guards against a request that is suspected since a working server broke off or sent no response.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn broken_connections_to_working_servers_accuse_nothing() {
+async fn broken_connections_to_working_servers_attribute_no_crash() {
     let respond = |_: usize, head: &str| match raw::is_health_check(head) {
         true => raw::Output::Bytes("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_owned()),
         false => raw::Output::Close(String::new()),
@@ -111,10 +111,10 @@
         assert_eq!(harness.send(&format!("id-{n}")).await.status, 502);
         tokio::time::sleep(CHECKED).await;
     }
-    assert_eq!(harness.metric(ACCUSED), 0);
+    assert_eq!(harness.metric(SUSPECTED), 0);
 }
 
-/// Guards against a request that stays accused although a server has served it.
+/// Guards against a request that stays suspected although a server has served it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_that_is_served_is_cleared() {
     let respond = |_: usize, head: &str| {
@@ -134,6 +134,6 @@
         tokio::time::sleep(CHECKED).await;
     }
     assert_eq!(harness.metric("nutmegdale_servers_crashed_total"), 2);
-    assert_eq!(harness.metric(ACCUSED), 0);
+    assert_eq!(harness.metric(SUSPECTED), 0);
     assert!(harness.metric("nutmegdale_requests_cleared_total") >= 1);
 }
--- a/crates/gossip/src/crashes.rs
+++ b/crates/gossip/src/crashes.rs
@@ -1,10 +1,10 @@
 //! Requests under which servers crashed, as facts.
 //!
 //! A request is identified by its fingerprint, the same one for each time that it comes again. A
-//! process that sees a server crash accuses the requests that the server ran. A request that is
+//! process that sees a server crash suspects the requests that the server ran. A request that is
 //! served successfully is cleared by whichever process sees that: it ran beside the one at fault.
 
-use crate::board;
+use crate::store;
 use nutmegdale_base::{clock, digest};
 use serde::{Deserialize, Serialize};
 
@@ -13,14 +13,14 @@
 /// Time for which a request is banned after the last crash.
 pub const BAN_MS: clock::Millis = clock::Millis(3_600_000);
 /// Time for which fewer crashes are remembered.
-const ACCUSED_MS: clock::Millis = clock::Millis(600_000);
-/// Time after which a request that was cleared can be accused again. Requests that many callers need
+const SUSPECTED_MS: clock::Millis = clock::Millis(600_000);
+/// Time after which a request that was cleared can be suspected again. Requests that many callers need
 /// run beside others all the time.
-const IMMUNE_MS: clock::Millis = clock::Millis(30_000);
+const CLEARED_GRACE_MS: clock::Millis = clock::Millis(30_000);
 /// Time for which it is remembered that a request was cleared, longer than any process may lag.
 const CLEARED_MS: clock::Millis = clock::Millis(60_000);
 
-/// Crashes that are laid to a request.
+/// Crashes that are attributed to a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Evidence {
     /// Number of times that the request was cleared; evidence from before is void.
@@ -46,7 +46,7 @@
     }
 }
 
-impl board::Value for Evidence {
+impl store::Value for Evidence {
     fn merge(&mut self, other: &Evidence) -> bool {
         if other.round > self.round {
             *self = other.clone();
@@ -58,7 +58,7 @@
     fn lifetime(&self) -> clock::Millis {
         match self.servers.len() {
             0 => CLEARED_MS,
-            count if count < BAN_COUNT => ACCUSED_MS,
+            count if count < BAN_COUNT => SUSPECTED_MS,
             _ => BAN_MS,
         }
     }
@@ -75,15 +75,15 @@
 }
 
 /// Returns the evidence after the crash of `server` under a request, given what is known and its age;
-/// `None` if that is no news or the request is immune.
-pub fn accuse(known: Option<(&Evidence, clock::Millis)>, server: u32) -> Option<Evidence> {
+/// `None` if that is no news or the request was cleared a short time ago.
+pub fn attribute(known: Option<(&Evidence, clock::Millis)>, server: u32) -> Option<Evidence> {
     let Some((known, age)) = known else {
         return Some(Evidence {
             round: 0,
             servers: vec![server],
         });
     };
-    if known.servers.is_empty() && age < IMMUNE_MS {
+    if known.servers.is_empty() && age < CLEARED_GRACE_MS {
         return None;
     }
     let mut evidence = known.clone();
@@ -93,9 +93,9 @@
 /// Returns the evidence after a successful response to a request; `None` if nothing was known that
 /// this changes.
 pub fn clear(known: Option<&Evidence>) -> Option<Evidence> {
-    let accused = known.filter(|known| !known.servers.is_empty())?;
+    let suspected = known.filter(|known| !known.servers.is_empty())?;
     Some(Evidence {
-        round: accused.round.saturating_add(1),
+        round: suspected.round.saturating_add(1),
         servers: Vec::new(),
     })
 }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -8,14 +8,14 @@
 //! frozen or restarted catches up. Without facts nothing is sent, except for one comparison after a
 //! start.
 //!
-//! The crate does no I/O and reads no clock: [`state::State`] holds the facts on a [`board::Board`],
+//! The crate does no I/O and reads no clock: [`state::State`] holds the facts on a [`store::Store`],
 //! merges what arrives and says which [`message::Message`] goes to which peer. The caller is
 //! `nutmegdale-gateway`, which sends them in datagrams. See
 //! [docs/design/gossip.md](../../../docs/design/gossip.md).
 
-pub mod board;
 pub mod crashes;
 pub mod message;
 pub mod peers;
 pub mod server_limits;
 pub mod state;
+pub mod store;
--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -1,15 +1,15 @@
 //! Messages between entry processes.
 
-use crate::{board, crashes, server_limits};
+use crate::{crashes, server_limits, store};
 use serde::{Deserialize, Serialize};
 
 /// Facts of one message.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Facts {
     /// Rate limits that servers name.
-    pub limits: Vec<board::Fact<server_limits::Named>>,
+    pub limits: Vec<store::Fact<server_limits::Named>>,
     /// Requests under which servers crashed.
-    pub crashes: Vec<board::Fact<crashes::Evidence>>,
+    pub crashes: Vec<store::Fact<crashes::Evidence>>,
 }
 
 impl Facts {
--- a/crates/gossip/src/peers.rs
+++ b/crates/gossip/src/peers.rs
@@ -9,7 +9,7 @@
 /// needs to cross only a few times.
 const FAR_INTERVAL: u64 = 4;
 /// Peers that a fact is told to at the least by each process.
-const TELLINGS_MIN_COUNT: u32 = 4;
+const SENDS_MIN_COUNT: u32 = 4;
 
 /// Another entry process.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,9 +24,9 @@
 ///
 /// With twice the logarithm of their number, practically every process hears of the fact from some
 /// peer, also if a few messages are lost; comparisons reach the rest.
-pub fn tellings_count(peers_count: usize) -> u32 {
+pub fn sends_count(peers_count: usize) -> u32 {
     let doubled_log = 2.0 * (peers_count.max(1) as f64).ln();
-    TELLINGS_MIN_COUNT.max(doubled_log.ceil() as u32)
+    SENDS_MIN_COUNT.max(doubled_log.ceil() as u32)
 }
 
 /// Chooses the peer of the next message of a process in `own_region`; `None` without any.
--- a/crates/gossip/src/server_limits.rs
+++ b/crates/gossip/src/server_limits.rs
@@ -4,7 +4,7 @@
 //! that the newest observation wins. Two processes that observe different limits at once choose the
 //! same number; the lower limit wins then, and the next response corrects it if it was the older one.
 
-use crate::board;
+use crate::store;
 use nutmegdale_base::{clock, digest};
 use serde::{Deserialize, Serialize};
 
@@ -13,7 +13,7 @@
 pub const LIFETIME_MS: clock::Millis = clock::Millis(600_000);
 /// Age from which a response that names the same limit confirms it to all processes.
 const CONFIRM_AFTER_MS: clock::Millis = clock::Millis(300_000);
-/// Change of a limit, as a share of the known one, that is worth telling.
+/// Change of a limit, as a share of the known one, that is worth a message.
 const CHANGE_MIN_SHARE: f64 = 0.1;
 
 /// Limit of one incarnation of a server, or that it has none any more.
@@ -25,7 +25,7 @@
     pub milli_per_s: Option<u32>,
 }
 
-impl board::Value for Named {
+impl store::Value for Named {
     fn merge(&mut self, other: &Named) -> bool {
         let order = |named: &Named| {
             let limit = named.milli_per_s.unwrap_or(u32::MAX);
--- a/crates/gossip/src/state.rs
+++ b/crates/gossip/src/state.rs
@@ -1,6 +1,6 @@
 //! Facts that a process holds, and the messages that spread them.
 
-use crate::{board, crashes, message, peers, server_limits};
+use crate::{crashes, message, peers, server_limits, store};
 use nutmegdale_base::{clock, rng};
 use std::net;
 
@@ -44,10 +44,10 @@
 #[derive(Debug)]
 pub struct State {
     /// Rate limits that servers name.
-    pub limits: board::Board<server_limits::Named>,
+    pub limits: store::Store<server_limits::Named>,
     /// Requests under which servers crashed, by fingerprint.
-    pub crashes: board::Board<crashes::Evidence>,
-    tellings_count: u32,
+    pub crashes: store::Store<crashes::Evidence>,
+    sends_count: u32,
     /// Time of the last round, if it left another one due within [`COMPARE_INTERVAL_MS`].
     last_active_round: Option<clock::Millis>,
     last_compare: clock::Millis,
@@ -65,9 +65,9 @@
     /// Creates the state of a process that has just started.
     pub fn new() -> State {
         State {
-            limits: board::Board::new(LIMITS_MAX_COUNT),
-            crashes: board::Board::new(CRASHES_MAX_COUNT),
-            tellings_count: peers::tellings_count(1),
+            limits: store::Store::new(LIMITS_MAX_COUNT),
+            crashes: store::Store::new(CRASHES_MAX_COUNT),
+            sends_count: peers::sends_count(1),
             last_active_round: None,
             last_compare: clock::Millis::ZERO,
             catch_up_left: CATCH_UP_COUNT,
@@ -92,19 +92,18 @@
         let Some(value) = server_limits::observe(known, milli_per_s) else {
             return false;
         };
-        self.limits
-            .merge(now, &fresh(key, value), self.tellings_count)
+        self.limits.merge(now, &fresh(key, value), self.sends_count)
     }
 
     /// Records that `server` crashed under the request with the fingerprint `key`; returns whether
     /// that is news for the other processes.
-    pub fn accuse(&mut self, now: clock::Millis, key: u64, server: u32) -> bool {
+    pub fn record_crash(&mut self, now: clock::Millis, key: u64, server: u32) -> bool {
         let known = self.crashes.get_aged(now, key);
-        let Some(value) = crashes::accuse(known, server) else {
+        let Some(value) = crashes::attribute(known, server) else {
             return false;
         };
         self.crashes
-            .merge(now, &fresh(key, value), self.tellings_count)
+            .merge(now, &fresh(key, value), self.sends_count)
     }
 
     /// Records that the request with the fingerprint `key` was served; returns whether that is news
@@ -114,7 +113,7 @@
             return false;
         };
         self.crashes
-            .merge(now, &fresh(key, value), self.tellings_count)
+            .merge(now, &fresh(key, value), self.sends_count)
     }
 
     /// Returns whether another round is due without a message or an observation before it.
@@ -148,7 +147,7 @@
         own_region: &str,
         rng: &mut dyn rng::Rng,
     ) -> Vec<Outgoing> {
-        self.tellings_count = peers::tellings_count(peers.len());
+        self.sends_count = peers::sends_count(peers.len());
         let last_round = self.last_active_round.take();
         if last_round.is_some_and(|last| now.since(last) >= SUSPENDED_AFTER_MS) {
             self.catch_up();
@@ -218,12 +217,12 @@
     }
 
     fn merge(&mut self, now: clock::Millis, facts: &message::Facts) -> Received {
-        let tellings_count = self.tellings_count;
+        let sends_count = self.sends_count;
         let limits = facts.limits.iter();
-        let changed = limits.filter(|fact| self.limits.merge(now, fact, tellings_count));
+        let changed = limits.filter(|fact| self.limits.merge(now, fact, sends_count));
         let limits = changed.map(|fact| fact.key).collect();
         let crashes = facts.crashes.iter();
-        let changed = crashes.filter(|fact| self.crashes.merge(now, fact, tellings_count));
+        let changed = crashes.filter(|fact| self.crashes.merge(now, fact, sends_count));
         Received {
             limits,
             has_crashes: changed.count() > 0,
@@ -259,13 +258,13 @@
 }
 
 /// Returns up to `count` facts from the one at `first`.
-fn part<V>(facts: &[board::Fact<V>], first: usize, count: usize) -> &[board::Fact<V>] {
+fn part<V>(facts: &[store::Fact<V>], first: usize, count: usize) -> &[store::Fact<V>] {
     let first = first.min(facts.len());
     &facts[first..facts.len().min(first + count)]
 }
 
-fn fresh<V>(key: u64, value: V) -> board::Fact<V> {
-    board::Fact {
+fn fresh<V>(key: u64, value: V) -> store::Fact<V> {
+    store::Fact {
         key,
         age: clock::Millis::ZERO,
         value,
--- a/crates/gossip/src/store.rs
+++ b/crates/gossip/src/store.rs
@@ -16,7 +16,7 @@
     /// Returns the time after its last change after which the fact is forgotten.
     fn lifetime(&self) -> clock::Millis;
 
-    /// Returns how much the loss of the fact would matter; a full board forgets those of the lowest
+    /// Returns how much the loss of the fact would matter; a full store forgets those of the lowest
     /// weight first.
     fn weight(&self) -> usize {
         0
@@ -39,7 +39,7 @@
     value: V,
     changed_at: clock::Millis,
     /// Number of peers that are still to be told.
-    tellings_left: u32,
+    sends_left: u32,
 }
 
 impl<V: Value> Entry<V> {
@@ -58,15 +58,15 @@
 
 /// Bounded set of facts of one kind.
 #[derive(Debug)]
-pub struct Board<V> {
+pub struct Store<V> {
     entries: collections::BTreeMap<u64, Entry<V>>,
     max_count: usize,
 }
 
-impl<V: Value> Board<V> {
-    /// Creates an empty board that holds at most `max_count` facts.
-    pub fn new(max_count: usize) -> Board<V> {
-        Board {
+impl<V: Value> Store<V> {
+    /// Creates an empty store that holds at most `max_count` facts.
+    pub fn new(max_count: usize) -> Store<V> {
+        Store {
             entries: collections::BTreeMap::new(),
             max_count,
         }
@@ -98,9 +98,9 @@
         self.entries.iter().map(|(key, entry)| (*key, &entry.value))
     }
 
-    /// Merges a fact that is `age` old; returns whether that changed the board. A changed fact is
-    /// told to `tellings_count` peers.
-    pub fn merge(&mut self, now: clock::Millis, fact: &Fact<V>, tellings_count: u32) -> bool {
+    /// Merges a fact that is `age` old; returns whether that changed the store. A changed fact is
+    /// told to `sends_count` peers.
+    pub fn merge(&mut self, now: clock::Millis, fact: &Fact<V>, sends_count: u32) -> bool {
         let changed_at = clock::Millis(now.since(fact.age).0);
         if fact.age >= fact.value.lifetime() {
             return false;
@@ -110,7 +110,7 @@
                 return false;
             }
             entry.changed_at = entry.changed_at.max(changed_at);
-            entry.tellings_left = tellings_count;
+            entry.sends_left = sends_count;
             return true;
         }
         if self.entries.len() >= self.max_count {
@@ -119,7 +119,7 @@
         let entry = Entry {
             value: fact.value.clone(),
             changed_at,
-            tellings_left: tellings_count,
+            sends_left: sends_count,
         };
         self.entries.insert(fact.key, entry);
         true
@@ -146,15 +146,15 @@
 
     /// Returns whether a fact is still to be told to peers.
     pub fn has_news(&self) -> bool {
-        self.entries.values().any(|entry| entry.tellings_left > 0)
+        self.entries.values().any(|entry| entry.sends_left > 0)
     }
 
     /// Returns up to `max_count` of the facts that are to be told, and counts each as told to one
     /// more peer.
     pub fn take_news(&mut self, now: clock::Millis, max_count: usize) -> Vec<Fact<V>> {
-        let untold = self.entries.iter_mut().filter(|(_, e)| e.tellings_left > 0);
+        let untold = self.entries.iter_mut().filter(|(_, e)| e.sends_left > 0);
         let news = untold.take(max_count).map(|(key, entry)| {
-            entry.tellings_left -= 1;
+            entry.sends_left -= 1;
             entry.fact(*key, now)
         });
         news.collect()
--- a/crates/gossip/tests/crashes.rs
+++ b/crates/gossip/tests/crashes.rs
@@ -2,9 +2,9 @@
 
 use nutmegdale_base::rng::Rng;
 use nutmegdale_base::{clock, rng};
-use nutmegdale_gossip::board::Value;
 use nutmegdale_gossip::crashes::{self, Evidence};
 use nutmegdale_gossip::state;
+use nutmegdale_gossip::store::Value;
 
 const KEY: u64 = 7;
 
@@ -45,19 +45,19 @@
     let mut state = state::State::new();
     let now = clock::Millis(1_000);
     let is_banned = |state: &state::State| state.crashes.get(KEY).is_some_and(Evidence::is_ban);
-    assert!(state.accuse(now, KEY, 1));
-    assert!(!state.accuse(now, KEY, 1), "the same incarnation");
-    assert!(state.accuse(now, KEY, 2));
+    assert!(state.record_crash(now, KEY, 1));
+    assert!(!state.record_crash(now, KEY, 1), "the same incarnation");
+    assert!(state.record_crash(now, KEY, 2));
     assert!(!is_banned(&state));
-    assert!(state.accuse(now, KEY, 3));
+    assert!(state.record_crash(now, KEY, 3));
     assert!(is_banned(&state));
-    assert!(!state.accuse(now, KEY, 4), "banned already");
+    assert!(!state.record_crash(now, KEY, 4), "banned already");
     assert!(state.clear(now, KEY));
     assert!(!is_banned(&state));
     assert!(!state.clear(now, KEY), "cleared already");
-    assert!(!state.accuse(now, KEY, 5), "immune for a while");
+    assert!(!state.record_crash(now, KEY, 5), "cleared a short time ago");
     let later = now + clock::Millis(30_000);
-    assert!(state.accuse(later, KEY, 5));
+    assert!(state.record_crash(later, KEY, 5));
     assert!(!is_banned(&state));
 }
 
@@ -70,7 +70,7 @@
     for second in 0..600 {
         let now = clock::Millis(second * 1_000);
         for _ in 0..rng.below(3) {
-            state.accuse(now, KEY, rng.next_u64() as u32);
+            state.record_crash(now, KEY, rng.next_u64() as u32);
         }
         state.clear(now, KEY);
         assert!(!state.crashes.get(KEY).is_some_and(Evidence::is_ban));
@@ -84,10 +84,10 @@
     let mut state = state::State::new();
     let now = clock::Millis(1_000);
     for server in 1..=3 {
-        state.accuse(now, KEY, server);
+        state.record_crash(now, KEY, server);
     }
     for key in 100..20_000 {
-        state.accuse(now + clock::Millis(key), key, 9);
+        state.record_crash(now + clock::Millis(key), key, 9);
     }
     assert_eq!(state.crashes.len(), 4_096);
     assert!(state.crashes.get(KEY).is_some_and(Evidence::is_ban));
--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -2,7 +2,7 @@
 
 use nutmegdale_base::rng::Rng;
 use nutmegdale_base::{clock, rng};
-use nutmegdale_gossip::{board, message, peers, server_limits, state};
+use nutmegdale_gossip::{message, peers, server_limits, state, store};
 use std::collections;
 use std::net;
 
@@ -293,7 +293,7 @@
     );
     let expired = state.expire(now + server_limits::LIFETIME_MS);
     assert_eq!((expired.limits.len(), state.limits.len()), (4_095, 1));
-    let old = board::Fact {
+    let old = store::Fact {
         key: 1,
         age: server_limits::LIFETIME_MS,
         value: server_limits::Named {
