--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -98,7 +98,7 @@
         self.crashes_count(fingerprint) >= crashes::BAN_COUNT
     }
 
-    /// Lays the crash of a server to a request, and tells the other processes.
+    /// Attributes the crash of a server to a request, and tells the other processes.
     pub(crate) fn record_crash(
         &self,
         now: clock::Millis,
