--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -184,7 +184,7 @@
             },
             telemetry::Sample {
                 name: "nutmegdale_suspected_requests",
-                help: "Requests to which crashes of servers are laid, the banned ones included.",
+                help: "Requests to which crashes of servers are attributed, the banned ones included.",
                 kind: telemetry::Kind::Gauge,
                 value: suspected.len() as u64,
             },
