gateway: one function for connections that end early, and no copies of the check-in

The two places that tell an ended connection from bytes that are no response share ended_early, unused connections return to their pool without empty headers, the validity of a response is computed where it is used, and the methods on limits join the other ones of Shared.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -143,21 +143,13 @@
     if let Some(identity) = &attempt.identity
         && let Err(refusal) = identity.confirm(shared)
     {
-        state::checkin(
-            &attempt.backend,
-            in_flight.now(),
-            connection,
-            &header::HeaderMap::new(),
-        );
+        let now = in_flight.now();
+        attempt.backend.pool.checkin(now, connection, None);
         return AttemptResult::Refused(refusal);
     }
     if !attempt.backend.confirm(in_flight.now(), attempt.permit) {
-        state::checkin(
-            &attempt.backend,
-            in_flight.now(),
-            connection,
-            &header::HeaderMap::new(),
-        );
+        let now = in_flight.now();
+        attempt.backend.pool.checkin(now, connection, None);
         return AttemptResult::NotRun(outcome::Reason::ServerLimit, false);
     }
     in_flight.is_written = true;
@@ -222,10 +214,7 @@
         true => health::Failure::Silence,
         false => health::Failure::Answer,
     };
-    match broken(in_flight, failure) {
-        AttemptResult::Unknown(_) if !err.error().is_parse() => AttemptResult::Disconnected,
-        result => result,
-    }
+    ended_early(in_flight, failure, err.error())
 }
 
 /// Returns the counters of the bytes of requests to a server.
@@ -246,6 +235,20 @@
     AttemptResult::Unknown(outcome::Reason::BrokenAnswer)
 }
 
+/// Records that a connection failed before the response was complete. It has ended, unless the
+/// server sent bytes that are no response.
+fn ended_early(
+    in_flight: &mut in_flight::InFlight,
+    failure: health::Failure,
+    err: &hyper::Error,
+) -> AttemptResult {
+    let result = broken(in_flight, failure);
+    match err.is_parse() {
+        true => result,
+        false => AttemptResult::Disconnected,
+    }
+}
+
 /// What an attempt keeps of its request once the request is written.
 struct SentRequest {
     backend: sync::Arc<backend::Backend>,
@@ -296,8 +299,6 @@
             return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
         }
         shared.record_availability(&self.backend, &metadata);
-        let is_valid = !head.status.is_success()
-            || (metadata.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
         let observation = server_limit::Observation {
             stated: metadata.limit,
             sent_at: in_flight.started,
@@ -316,13 +317,12 @@
             }
             return AttemptResult::NotRun(outcome::Reason::ServerRefused, true);
         }
+        let is_valid = !head.status.is_success()
+            || (metadata.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING));
         match payload::Payload::read(incoming, &shared.buffer_budget).await {
             Ok(payload) if is_valid => self.answer(in_flight, connection, head, payload),
-            Err(err) if !err.is_parse() => {
-                broken(in_flight, health::Failure::Answer);
-                AttemptResult::Disconnected
-            }
-            _ => broken(in_flight, health::Failure::Answer),
+            Err(err) => ended_early(in_flight, health::Failure::Answer, &err),
+            Ok(_) => broken(in_flight, health::Failure::Answer),
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -318,9 +318,7 @@
             self.decision_log.write_backoff(now, backend);
         }
     }
-}
 
-impl Shared {
     /// Records what a response of the server says about its rate limit, and tells the other
     /// processes what is news for them. An unreadable limit changes nothing.
     pub fn record_limit(
