gossip: a fact keeps its age at a process that started after it

What happens without it: a ban lasts an hour after the last crash, but a process that started later takes the fact for as old as itself, and tells it to others with that age. With starts less than an hour apart a ban never ends.

Cause: the store kept the time of the last change on the clock of the process. That clock starts with the process, and the subtraction of the age ended at zero.

Change: the store keeps the time at which a fact is forgotten, which is never in the past.

Test: gossip/tests/crashes fact_keeps_its_age_at_a_process_that_started_after_it; before: told with an age of 9,000 ms in place of 3,594,000 ms.

--- a/crates/gossip/src/store.rs
+++ b/crates/gossip/src/store.rs
@@ -2,6 +2,7 @@
 
 use nutmegdale_base::{clock, digest};
 use serde::{Deserialize, Serialize};
+use std::cmp;
 use std::collections;
 use std::hash::Hash;
 
@@ -37,20 +38,24 @@
 #[derive(Debug)]
 struct Entry<V> {
     value: V,
-    changed_at: clock::Millis,
+    /// Time at which the fact is forgotten. The time of its last change would not do: it may lie
+    /// before the start of the clock of this process.
+    expires_at: clock::Millis,
     /// Number of peers that are still to be told.
     sends_left: u32,
 }
 
 impl<V: Value> Entry<V> {
-    fn is_expired(&self, now: clock::Millis) -> bool {
-        now.since(self.changed_at) >= self.value.lifetime()
+    /// Returns the time since the last change.
+    fn age(&self, now: clock::Millis) -> clock::Millis {
+        let rest = self.expires_at.since(now);
+        self.value.lifetime().since(rest)
     }
 
     fn fact(&self, key: u64, now: clock::Millis) -> Fact<V> {
         Fact {
             key,
-            age: now.since(self.changed_at),
+            age: self.age(now),
             value: self.value.clone(),
         }
     }
@@ -80,7 +85,7 @@
     /// Returns the value for a key and the time since its last change.
     pub fn get_aged(&self, now: clock::Millis, key: u64) -> Option<(&V, clock::Millis)> {
         let entry = self.entries.get(&key)?;
-        Some((&entry.value, now.since(entry.changed_at)))
+        Some((&entry.value, entry.age(now)))
     }
 
     /// Returns whether there are no facts.
@@ -101,24 +106,25 @@
     /// Merges a fact that is `age` old; returns whether that changed the store. A changed fact is
     /// told to `sends_count` peers.
     pub fn merge(&mut self, now: clock::Millis, fact: &Fact<V>, sends_count: u32) -> bool {
-        let changed_at = clock::Millis(now.since(fact.age).0);
         if fact.age >= fact.value.lifetime() {
             return false;
         }
+        let expires_at = |value: &V, age| now + value.lifetime().since(age);
         if let Some(entry) = self.entries.get_mut(&fact.key) {
+            let age = entry.age(now).min(fact.age);
             if !entry.value.merge(&fact.value) {
                 return false;
             }
-            entry.changed_at = entry.changed_at.max(changed_at);
+            entry.expires_at = expires_at(&entry.value, age);
             entry.sends_left = sends_count;
             return true;
         }
         if self.entries.len() >= self.max_count {
-            self.remove_least();
+            self.remove_least(now);
         }
         let entry = Entry {
+            expires_at: expires_at(&fact.value, fact.age),
             value: fact.value.clone(),
-            changed_at,
             sends_left: sends_count,
         };
         self.entries.insert(fact.key, entry);
@@ -126,9 +132,9 @@
     }
 
     /// Removes the oldest of the facts with the lowest weight.
-    fn remove_least(&mut self) {
+    fn remove_least(&mut self, now: clock::Millis) {
         let entries = self.entries.iter();
-        let least = entries.min_by_key(|(_, e)| (e.value.weight(), e.changed_at));
+        let least = entries.min_by_key(|(_, e)| (e.value.weight(), cmp::Reverse(e.age(now))));
         if let Some(key) = least.map(|(key, _)| *key) {
             self.entries.remove(&key);
         }
@@ -136,7 +142,7 @@
 
     /// Removes the facts whose lifetime has passed and returns their keys.
     pub fn expire(&mut self, now: clock::Millis) -> Vec<u64> {
-        let expired = self.entries.iter().filter(|(_, e)| e.is_expired(now));
+        let expired = self.entries.iter().filter(|(_, e)| e.expires_at <= now);
         let expired: Vec<_> = expired.map(|(key, _)| *key).collect();
         for key in &expired {
             self.entries.remove(key);
--- a/crates/gossip/tests/crashes.rs
+++ b/crates/gossip/tests/crashes.rs
@@ -3,8 +3,8 @@
 use nutmegdale_base::rng::Rng;
 use nutmegdale_base::{clock, rng};
 use nutmegdale_gossip::crashes::{self, Evidence};
-use nutmegdale_gossip::state;
 use nutmegdale_gossip::store::Value;
+use nutmegdale_gossip::{message, state, store};
 
 const KEY: u64 = 7;
 
@@ -96,3 +96,30 @@
     state.expire(now + crashes::BAN_MS);
     assert!(state.crashes.is_empty());
 }
+
+/// Guards against a ban that does not end, since each process that starts later takes it for a new
+/// one and tells it to others.
+#[test]
+fn fact_keeps_its_age_at_a_process_that_started_after_it() {
+    let age = clock::Millis(crashes::BAN_MS.0 - 10_000);
+    let fact = store::Fact {
+        key: KEY,
+        age,
+        value: evidence(0, &[1, 2, 3]),
+    };
+    let mut state = state::State::new();
+    let started = clock::Millis(5_000);
+    state.receive(
+        started,
+        &message::Message::News(message::Facts {
+            crashes: vec![fact],
+            ..message::Facts::default()
+        }),
+    );
+    let later = started + clock::Millis(4_000);
+    let told = state.crashes.facts(later);
+    assert_eq!(told[0].age, age + clock::Millis(4_000));
+    assert!(!state.expire(started + clock::Millis(9_999)).has_crashes);
+    assert!(state.expire(started + clock::Millis(10_000)).has_crashes);
+    assert!(state.crashes.is_empty());
+}
