gossip: a ban that was cleared stays cleared for as long as a ban lasts

What happens without it: a process that was cut off, frozen or down for more than a minute returns with a ban that the others have cleared and forgotten. They take it for news, and a request that servers do serve is refused everywhere for up to an hour. Since it is refused, no success can clear it again.

Cause: the note that a request was cleared lives for 60 s, the ban that it voids for an hour.

Ruled out: longer notes for all cleared requests. Each request that runs beside a crash is cleared, so the notes would be as many as requests, and every comparison would carry them. Clearing a ban needs a success that was under way when the ban came, which is rare.

Change: the evidence says whether the request was banned; such a note lives as long as a ban.

Test: gossip/tests/crashes ban_of_a_process_that_was_away_stays_cleared; before: the ban is news 20 minutes later.

--- a/crates/gossip/src/crashes.rs
+++ b/crates/gossip/src/crashes.rs
@@ -17,7 +17,7 @@
 /// Time after which a request that was cleared can be suspected again. Requests that many callers need
 /// run beside others all the time.
 const CLEARED_GRACE_MS: clock::Millis = clock::Millis(30_000);
-/// Time for which it is remembered that a request was cleared, longer than any process may lag.
+/// Time for which it is remembered that a suspected request was cleared, longer than most processes lag.
 const CLEARED_MS: clock::Millis = clock::Millis(60_000);
 
 /// Crashes that are attributed to a request.
@@ -28,6 +28,10 @@
     /// Digests of the crashed incarnations since then, sorted, the lowest [`BAN_COUNT`] of them.
     /// Empty if the request was cleared.
     pub servers: Vec<u32>,
+    /// Whether the request was banned before it was cleared. A process that returns with the ban after
+    /// the others have forgotten that it was cleared would ban it once more, and no request would be
+    /// served that could clear it.
+    pub was_banned: bool,
 }
 
 impl Evidence {
@@ -44,6 +48,13 @@
         self.servers.truncate(BAN_COUNT);
         self.servers != before
     }
+
+    /// Adds what another process has attributed to the request since it was cleared last.
+    fn add_round(&mut self, other: &Evidence) -> bool {
+        let is_new = other.was_banned && !self.was_banned;
+        self.was_banned |= other.was_banned;
+        self.add(&other.servers) || is_new
+    }
 }
 
 impl store::Value for Evidence {
@@ -52,14 +63,14 @@
             *self = other.clone();
             return true;
         }
-        other.round == self.round && self.add(&other.servers)
+        other.round == self.round && self.add_round(other)
     }
 
     fn lifetime(&self) -> clock::Millis {
         match self.servers.len() {
+            _ if self.was_banned || self.is_ban() => BAN_MS,
             0 => CLEARED_MS,
-            count if count < BAN_COUNT => SUSPECTED_MS,
-            _ => BAN_MS,
+            _ => SUSPECTED_MS,
         }
     }
 
@@ -81,6 +92,7 @@
         return Some(Evidence {
             round: 0,
             servers: vec![server],
+            was_banned: false,
         });
     };
     if known.servers.is_empty() && age < CLEARED_GRACE_MS {
@@ -97,5 +109,6 @@
     Some(Evidence {
         round: suspected.round.saturating_add(1),
         servers: Vec::new(),
+        was_banned: suspected.was_banned || suspected.is_ban(),
     })
 }
--- a/crates/gossip/tests/crashes.rs
+++ b/crates/gossip/tests/crashes.rs
@@ -9,8 +9,18 @@
 const KEY: u64 = 7;
 
 fn evidence(round: u32, servers: &[u32]) -> Evidence {
-    let servers = servers.to_vec();
-    Evidence { round, servers }
+    Evidence {
+        round,
+        servers: servers.to_vec(),
+        was_banned: false,
+    }
+}
+
+fn news(crashes: Vec<store::Fact<Evidence>>) -> message::Message {
+    message::Message::News(message::Facts {
+        crashes,
+        ..message::Facts::default()
+    })
 }
 
 fn merged(a: &Evidence, b: &Evidence) -> Evidence {
@@ -23,7 +33,10 @@
     let mut servers: Vec<_> = (0..rng.below(4)).map(|_| rng.below(6) as u32).collect();
     servers.sort_unstable();
     servers.dedup();
-    evidence(rng.below(3) as u32, &servers)
+    Evidence {
+        was_banned: rng.below(2) == 0,
+        ..evidence(rng.below(3) as u32, &servers)
+    }
 }
 
 /// Guards against processes that disagree after they got the same evidence in another order.
@@ -109,13 +122,7 @@
     };
     let mut state = state::State::new();
     let started = clock::Millis(5_000);
-    state.receive(
-        started,
-        &message::Message::News(message::Facts {
-            crashes: vec![fact],
-            ..message::Facts::default()
-        }),
-    );
+    state.receive(started, &news(vec![fact]));
     let later = started + clock::Millis(4_000);
     let told = state.crashes.facts(later);
     assert_eq!(told[0].age, age + clock::Millis(4_000));
@@ -123,3 +130,23 @@
     assert!(state.expire(started + clock::Millis(10_000)).has_crashes);
     assert!(state.crashes.is_empty());
 }
+
+/// Guards against a request that is banned once more after it was served: a process that was away
+/// returns with the ban, and the others have forgotten that it was cleared.
+#[test]
+fn ban_of_a_process_that_was_away_stays_cleared() {
+    let now = clock::Millis(1_000);
+    let mut away = state::State::new();
+    for server in [1, 2, 3] {
+        away.record_crash(now, KEY, server);
+    }
+    let mut state = state::State::new();
+    state.receive(now, &news(away.crashes.facts(now)));
+    assert!(state.clear(now, KEY));
+    let later = now + clock::Millis(1_200_000);
+    state.expire(later);
+    away.expire(later);
+    let received = state.receive(later, &news(away.crashes.facts(later)));
+    assert!(!received.has_crashes);
+    assert!(!state.crashes.get(KEY).is_some_and(Evidence::is_ban));
+}
