gossip: processes that start together compare their facts as they learn of each other

Change: within 10 s of its first round a process begins its comparisons again when its list has grown, and the rounds of a start are 100 ms apart. The time to the next round is decided in gossip::state, so that the gateway and the simulation share it.

Ruled out: comparing whenever the list grows, at any age. Each process that joins would make all others compare; in a restart of 132 processes one after the other that is 69,000 datagrams.

Test: gossip/tests/spread processes_that_start_together_agree_soon; before: 2 of 16 processes did not know the fact 400 ms after the lists were whole.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -315,21 +315,17 @@
 
 /// Waits until the next round is due.
 async fn wait_round(gossip: &Gossip) {
-    let (is_active, has_news) = {
+    let (interval, has_news) = {
         let state = gossip.state();
-        (state.is_active(), state.has_news())
+        (state.next_round(), state.has_news())
     };
-    if has_news {
-        let interval = time::Duration::from_millis(facts::NEWS_INTERVAL_MS.0);
-        return tokio::time::sleep(interval).await;
-    }
-    let interval = time::Duration::from_millis(facts::COMPARE_INTERVAL_MS.0);
     let news = gossip.news.notified();
-    if is_active {
+    match interval.map(|interval| time::Duration::from_millis(interval.0)) {
+        // News that comes meanwhile is told in the same round.
+        Some(interval) if has_news => tokio::time::sleep(interval).await,
         // Either end of the wait begins a round.
-        drop(tokio::time::timeout(interval, news).await);
-    } else {
-        news.await;
+        Some(interval) => drop(tokio::time::timeout(interval, news).await),
+        None => news.await,
     }
 }
 
--- a/crates/gossip/src/state.rs
+++ b/crates/gossip/src/state.rs
@@ -10,12 +10,15 @@
 const CRASHES_MAX_COUNT: usize = 4_096;
 /// Facts of one message, which then fits into a datagram that no link splits.
 const FACTS_MAX_COUNT: usize = 32;
-/// Interval between two rounds in which news is told.
-pub const NEWS_INTERVAL_MS: clock::Millis = clock::Millis(100);
+/// Interval between two rounds in which news is told, or in which a process catches up.
+const NEWS_INTERVAL_MS: clock::Millis = clock::Millis(100);
 /// Interval between two comparisons of a process that holds facts.
-pub const COMPARE_INTERVAL_MS: clock::Millis = clock::Millis(500);
+const COMPARE_INTERVAL_MS: clock::Millis = clock::Millis(500);
 /// Peers with which a process compares its facts after a start or a suspension.
 const CATCH_UP_COUNT: u32 = 4;
+/// Time after its first round in which a process compares its facts again when it learns of more
+/// peers. After a start of all processes the first lists of peers are short.
+const START_MS: clock::Millis = clock::Millis(10_000);
 /// Time between two rounds from which a process was suspended.
 const SUSPENDED_AFTER_MS: clock::Millis = clock::Millis(2_500);
 
@@ -53,6 +56,9 @@
     last_compare: clock::Millis,
     /// Comparisons that are still due after a start or a suspension.
     catch_up_left: u32,
+    first_round: Option<clock::Millis>,
+    /// Number of peers in the last round.
+    peers_count: usize,
 }
 
 impl Default for State {
@@ -71,6 +77,8 @@
             last_active_round: None,
             last_compare: clock::Millis::ZERO,
             catch_up_left: CATCH_UP_COUNT,
+            first_round: None,
+            peers_count: 0,
         }
     }
 
@@ -116,9 +124,13 @@
             .merge(now, &fresh(key, value), self.sends_count)
     }
 
-    /// Returns whether another round is due without a message or an observation before it.
-    pub fn is_active(&self) -> bool {
-        self.catch_up_left > 0 || self.has_facts()
+    /// Returns the time until the next round; `None` if none is due before a message or an
+    /// observation.
+    pub fn next_round(&self) -> Option<clock::Millis> {
+        if self.catch_up_left > 0 || self.has_news() {
+            return Some(NEWS_INTERVAL_MS);
+        }
+        self.has_facts().then_some(COMPARE_INTERVAL_MS)
     }
 
     fn has_facts(&self) -> bool {
@@ -148,6 +160,12 @@
         rng: &mut dyn rng::Rng,
     ) -> Vec<Outgoing> {
         self.sends_count = peers::sends_count(peers.len());
+        let first_round = *self.first_round.get_or_insert(now);
+        let is_starting = now.since(first_round) < START_MS;
+        if is_starting && peers.len() > self.peers_count {
+            self.catch_up();
+        }
+        self.peers_count = peers.len();
         let last_round = self.last_active_round.take();
         if last_round.is_some_and(|last| now.since(last) >= SUSPENDED_AFTER_MS) {
             self.catch_up();
@@ -168,7 +186,7 @@
             outgoing.extend(peers::choose(peers, own_region, rng).map(|to| (to, news)));
         }
         let has_comparison = self.takes_comparison(now);
-        self.last_active_round = self.is_active().then_some(now);
+        self.last_active_round = self.next_round().map(|_| now);
         if has_comparison {
             let compare = message::Message::Compare(self.digest());
             outgoing.extend(peers::choose(peers, own_region, rng).map(|to| (to, compare)));
--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -36,6 +36,8 @@
     sent: Vec<Sent>,
     rng: rng::SplitMix64,
     loss_percent: u64,
+    /// Number of processes that the others know.
+    listed_count: usize,
     /// Processes that only reach each other.
     island: collections::BTreeSet<usize>,
     sent_count: u64,
@@ -74,6 +76,7 @@
             sent: Vec::new(),
             rng: rng::SplitMix64::new(seed),
             loss_percent,
+            listed_count: count,
             island: collections::BTreeSet::new(),
             sent_count: 0,
             sent_bytes: 0,
@@ -140,7 +143,7 @@
         if !is_due {
             return;
         }
-        let others = (0..self.processes.len()).filter(|other| *other != n);
+        let others = (0..self.listed_count).filter(|other| *other != n);
         let others: Vec<_> = others
             .map(|other| peers::Peer {
                 address: address(other),
@@ -150,12 +153,8 @@
         let now = self.now();
         let process = &mut self.processes[n];
         let outgoing = process.state.round(now, &others, region(n), &mut self.rng);
-        let interval = match (process.state.has_news(), process.state.is_active()) {
-            (true, _) => state::NEWS_INTERVAL_MS.0,
-            (false, true) => state::COMPARE_INTERVAL_MS.0,
-            (false, false) => u64::MAX / 2,
-        };
-        process.next_round_ms = self.now_ms + interval;
+        let interval = process.state.next_round();
+        process.next_round_ms = interval.map_or(u64::MAX, |interval| self.now_ms + interval.0);
         for (to, message) in outgoing {
             self.send(n, index(to), message);
         }
@@ -262,6 +261,28 @@
     }
 }
 
+/// Guards against processes that learn late what the others have kept over the end of all of them: at
+/// first each knows only a few others.
+#[test]
+fn processes_that_start_together_agree_soon() {
+    const SPAN_MS: u64 = 400;
+    for count in [16, 132] {
+        for seed in 0..10 {
+            let mut network = Network::start(count, seed, 5);
+            (0..count).for_each(|n| network.restart(n));
+            for n in 0..count / 3 {
+                network.observe(n, Some(1_600));
+            }
+            network.listed_count = 3;
+            network.run_for(100);
+            network.listed_count = count;
+            network.run_for(SPAN_MS);
+            let ignorant = network.ignorant(Some(1_600));
+            assert!(ignorant.is_empty(), "{count} processes: {ignorant:?}");
+        }
+    }
+}
+
 /// Guards against processes that disagree after two of them observed different limits at once.
 #[test]
 fn observations_at_the_same_time_converge() {
