gateway: bans of requests that crash servers outlive the end of all processes

What callers saw: when all entry processes end at the same time (power, a kill), the bans are gone, and a request that has crashed three servers crashes more of them. Listed as open in the postmortem.

Cause: the evidence was only in memory. One process that restarts gets it from the others, but not if all do.

Ruled out: a ban in the registry; it needs a quorum and a write to each coordinator's disk for each crash (docs/design/crashing-requests.md).

Change: an entry process with a data folder keeps the evidence in a file, which is replaced as a whole after each change, and tells the others what it has read after a start.

Test: platform/tests/crashing_requests ban_outlives_the_end_of_all_entry_processes; before: the request reached servers again, [502, 502, 400, ...]. ban_holds_while_the_disks_stand_still: disks that stall. storage/tests/document: crashes, damage, a full disk.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use nutmegdale_base::clock;
 use nutmegdale_dispatch::server_limit;
-use nutmegdale_gossip::{crashes, message, peers, server_limits, state as facts};
+use nutmegdale_gossip::{crashes, message, peers, server_limits, state as facts, store};
 use nutmegdale_telemetry::metrics as telemetry;
 use std::collections;
 use std::io;
@@ -36,6 +36,8 @@
     suspected: ArcSwap<Suspected>,
     /// Notified when there is news for other processes.
     news: tokio::sync::Notify,
+    /// Notified when the facts on crashes have changed.
+    crashes_changed: tokio::sync::Notify,
     sent: atomic::AtomicU64,
     sent_bytes: atomic::AtomicU64,
     received: atomic::AtomicU64,
@@ -55,6 +57,7 @@
             state: sync::Mutex::new(facts::State::new()),
             suspected: ArcSwap::default(),
             news: tokio::sync::Notify::new(),
+            crashes_changed: tokio::sync::Notify::new(),
             sent: atomic::AtomicU64::new(0),
             sent_bytes: atomic::AtomicU64::new(0),
             received: atomic::AtomicU64::new(0),
@@ -134,6 +137,38 @@
             (fingerprint, evidence.servers.len())
         });
         self.suspected.store(sync::Arc::new(suspected.collect()));
+        self.mark_crashes_changed();
+    }
+
+    /// Waits until the facts on crashes have changed since the last wait.
+    pub(crate) async fn crashes_changed(&self) {
+        self.crashes_changed.notified().await;
+    }
+
+    /// Ends a wait for a change of the facts on crashes, or the next one.
+    pub(crate) fn mark_crashes_changed(&self) {
+        self.crashes_changed.notify_one();
+    }
+
+    /// Returns the facts on crashes.
+    pub(crate) fn crashes(&self, now: clock::Millis) -> Vec<store::Fact<crashes::Evidence>> {
+        self.state().crashes.facts(now)
+    }
+
+    /// Takes up facts on crashes from an earlier start, and tells the other processes.
+    pub(crate) fn restore(&self, now: clock::Millis, crashes: Vec<store::Fact<crashes::Evidence>>) {
+        let facts = message::Facts {
+            crashes,
+            ..message::Facts::default()
+        };
+        let mut state = self.state();
+        if state
+            .receive(now, &message::Message::News(facts))
+            .has_crashes
+        {
+            self.publish_suspected(&state);
+            self.news.notify_one();
+        }
     }
 
     /// Compares the facts with those of several peers, after a time without contact.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,15 +9,18 @@
 //! requests. Only [`attempt`] writes requests to servers, over connections from [`pool`];
 //! [`buffer`] limits the memory of buffered bodies; `in_flight` records what each attempt tells
 //! of its server, and [`server_traffic`] counts bytes. [`quota`] admits requests within the
-//! limits of their accounts, [`crashes`] recognises requests that crash servers, [`gossip`] exchanges facts on servers with other entry processes, and [`rollouts`] divides requests between two versions of a service.
-//! [`directory`] selects the addresses to which callers connect. Header names of a front end are
-//! known only to its [`dialect::Dialect`]. See [docs/platform.md](../../../docs/platform.md).
+//! limits of their accounts, [`crashes`] recognises requests that crash servers, `crash_file` keeps
+//! these for later starts, [`gossip`] exchanges facts on servers with other entry processes, and
+//! [`rollouts`] divides requests between two versions of a service. [`directory`] selects the
+//! addresses to which callers connect. Header names of a front end are known only to its
+//! [`dialect::Dialect`]. See [docs/platform.md](../../../docs/platform.md).
 
 pub mod attempt;
 pub mod backend;
 pub mod buffer;
 mod call;
 pub mod caller;
+mod crash_file;
 pub mod crashes;
 mod datagram;
 pub mod decisions;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     pub sends_limited: atomic::AtomicU64,
     /// Servers that crashed under requests of this process.
     pub servers_crashed: atomic::AtomicU64,
+    /// Failed writes of the file of crashes.
+    pub crashes_unsaved: atomic::AtomicU64,
     /// Requests that were refused since servers crashed under them.
     pub refused_banned: atomic::AtomicU64,
     /// Requests to which crashes were laid and that were served.
@@ -169,6 +171,11 @@
                 "Servers that crashed under requests of this process.",
                 &self.servers_crashed,
             ),
+            counter(
+                "nutmegdale_crashes_unsaved_total",
+                "Failed writes of the file that keeps crashes for later starts.",
+                &self.crashes_unsaved,
+            ),
             counter(
                 "nutmegdale_refused_banned_total",
                 "Refusals of requests under which servers crashed.",
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -1,9 +1,10 @@
 //! Runs a gateway, including its graceful shutdown.
 
-use crate::{follow, gossip, proxy, rollouts, settings, state, table};
+use crate::{crash_file, follow, gossip, proxy, rollouts, settings, state, table};
 use nutmegdale_base::clock;
 use nutmegdale_registry::follow as registry;
 use nutmegdale_rpc::listen;
+use nutmegdale_storage::disk;
 use std::io;
 use std::net;
 use std::sync;
@@ -28,6 +29,7 @@
     /// State that its tasks share.
     pub shared: sync::Arc<state::Shared>,
     follower: follow::Follower,
+    data: Option<sync::Arc<dyn disk::DataFolder>>,
     stop: watch::Receiver<bool>,
 }
 
@@ -44,12 +46,14 @@
         let mut builder = table::Builder::new(sync::Arc::clone(&settings));
         let empty = registry::LocalCopy::default();
         let table = builder.build(clock::Millis::ZERO, &empty, None);
+        let data = dependencies.data.clone();
         let shared = sync::Arc::new(state::Shared::new(settings, dependencies, table));
         let follower =
             follow::Follower::new(sync::Arc::clone(&shared), builder, seeds, stop.clone());
         Gateway {
             shared,
             follower,
+            data,
             stop,
         }
     }
@@ -66,6 +70,8 @@
         let rollouts = shared.settings.features.rollouts;
         let reporter = rollouts.map(|_| tokio::spawn(rollouts::report(sync::Arc::clone(&shared))));
         let gossip = spawn_gossip(&shared);
+        let run_file = |data| tokio::spawn(crash_file::run(sync::Arc::clone(&shared), data));
+        let crash_file = self.data.map(run_file);
         let sweeper = tokio::spawn(sweep_idle(sync::Arc::clone(&shared)));
         let grace = shared.settings.bounds.grace;
         let (closed_tx, closed_rx) = watch::channel(false);
@@ -79,7 +85,7 @@
         slog::info!(shared.log, "gateway stopped"; "all_requests_ended" => is_clean);
         follower.abort();
         sweeper.abort();
-        for task in [reporter, gossip].into_iter().flatten() {
+        for task in [reporter, gossip, crash_file].into_iter().flatten() {
             task.abort();
         }
         Ok(())
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use nutmegdale_quota::gate;
 use nutmegdale_registry::config;
 use nutmegdale_rpc::client;
+use nutmegdale_storage::disk;
 use nutmegdale_telemetry::metrics as telemetry;
 use std::sync;
 use std::sync::atomic;
@@ -87,6 +88,8 @@
     pub codec: sync::Arc<dyn config::Codec>,
     /// Logger for decisions and for all other events.
     pub log: slog::Logger,
+    /// Folder for what outlives the process; `None` on a VM without a disk.
+    pub data: Option<sync::Arc<dyn disk::DataFolder>>,
     /// Seed of the random number generators.
     pub seed: u64,
 }
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -164,6 +164,7 @@
         dialect: sync::Arc::new(stub::TestDialect),
         codec,
         log: log::discard(),
+        data: None,
         seed: 1,
     };
     let mut settings = stub::settings();
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -44,6 +44,7 @@
             dialect: sync::Arc::new(stub::TestDialect),
             codec: sync::Arc::new(stub::FixedCodec),
             log: log::discard(),
+            data: None,
             seed: 1,
         };
         let mut copy = follow::LocalCopy {
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -231,6 +231,7 @@
             dialect: sync::Arc::new(TestDialect),
             codec: sync::Arc::new(UnusedCodec),
             log: log_text.logger(),
+            data: None,
             seed: 1,
         };
         let mut shared = state::Shared::new(settings, dependencies, empty);
--- a/crates/storage/src/snapshot.rs
+++ b/crates/storage/src/snapshot.rs
@@ -5,6 +5,7 @@
 use crate::error;
 use crate::frame;
 use crate::recovery;
+use crate::replace;
 
 const TEMP_FILE_NAME: &str = "snapshot.tmp";
 /// Maximum bytes of the body in one record.
@@ -22,8 +23,7 @@
     name.strip_prefix("snapshot-")?.parse().ok()
 }
 
-/// Writes a snapshot to a temporary file, syncs it, renames it to its final name and syncs the
-/// folder.
+/// Writes a snapshot to a file of its own.
 pub(crate) fn write(
     disk: &dyn disk::Disk,
     index: u64,
@@ -39,18 +39,7 @@
     for chunk in body.chunks(CHUNK_BYTES) {
         frame::push(&mut buf, index, 0, chunk);
     }
-    let name = file_name(index);
-    let io_error = error::Error::io;
-    let mut file = disk
-        .open(TEMP_FILE_NAME)
-        .map_err(io_error(&name, "create"))?;
-    file.truncate(0).map_err(io_error(&name, "truncate"))?;
-    file.write_at(0, &buf).map_err(io_error(&name, "write"))?;
-    file.sync().map_err(io_error(&name, "sync"))?;
-    disk.rename(TEMP_FILE_NAME, &name)
-        .map_err(io_error(&name, "rename"))?;
-    disk.sync_folder()
-        .map_err(io_error(&name, "sync of folder"))
+    replace::replace(disk, TEMP_FILE_NAME, &file_name(index), &buf)
 }
 
 /// Reads the newest snapshot. Fails if it is damaged: falling back to an older one would lose
--- a/crates/telemetry/src/clock.rs
+++ b/crates/telemetry/src/clock.rs
@@ -34,7 +34,7 @@
 }
 
 /// Returns the wall-clock time in milliseconds since the Unix epoch, only for records that people
-/// read.
+/// read and for the ages of facts that outlive a process.
 pub fn wall_ms() -> u64 {
     let elapsed = time::SystemTime::now()
         .duration_since(time::UNIX_EPOCH)
