soak: servers that name limits, and a request that crashes servers

Change: in seeds with the protection of servers, up to two servers name a limit for 10 s, a request comes that crashes those that run it until the load ends, or both. Two checks: no server gets more than LIMIT allows from entry processes without a fault of their own, and the request reaches at most three servers later than 3 s after its third crash. Faults of coordinators excuse nothing. The faults of a seed stay as they were, and seeds without the protection play as before.

--- a/crates/daemon/examples/soak.rs
+++ b/crates/daemon/examples/soak.rs
@@ -36,6 +36,10 @@
     #[argh(option, default = "4")]
     entry: usize,
 
+    /// leave out servers that name limits and the request that crashes servers
+    #[argh(switch)]
+    faults_only: bool,
+
     /// time during which faults are injected, in seconds (9)
     #[argh(option, default = "9")]
     seconds: u64,
@@ -45,6 +49,7 @@
     let size = plan::Size {
         entry: args.entry,
         faults_ms: args.seconds * 1_000,
+        has_protection: !args.faults_only,
         ..plan::Size::SMALL
     };
     let folder = args.folder.join(seed.to_string());
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -49,6 +49,9 @@
     pub wire: sync::Arc<dyn wire::Wire>,
 }
 
+/// Interval between two sends of the request that crashes servers.
+const CRASHING_INTERVAL: time::Duration = time::Duration::from_millis(150);
+
 struct Caller {
     spec: Spec,
     rng: rng::SplitMix64,
@@ -57,26 +60,53 @@
     connection: Option<(net::SocketAddr, Sender)>,
 }
 
+/// Sends the request that crashes servers until `stop` is true, at an entry process drawn each time.
+pub async fn run_crashing(spec: Spec, stop: watch::Receiver<bool>) {
+    let mut caller = Caller::new(spec);
+    let mut number = 0;
+    while !*stop.borrow() {
+        caller.refresh_addresses().await;
+        caller.connection = None;
+        let id = format!("c{:x}-{number}", caller.spec.seed);
+        let message = caller.spec.wire.crashing_request(&id, DEADLINE_MS);
+        caller.send_request(&message, Kind::Crashing, id).await;
+        number += 1;
+        tokio::time::sleep(CRASHING_INTERVAL).await;
+    }
+}
+
 /// Sends requests until `stop` is true.
 pub async fn run(spec: Spec, stop: watch::Receiver<bool>) {
-    let mut caller = Caller {
-        rng: rng::SplitMix64::new(digest::of(&(spec.seed, spec.number))),
-        spec,
-        addresses: Vec::new(),
-        resolved_at: None,
-        connection: None,
-    };
+    let mut caller = Caller::new(spec);
     let mut number = 0;
     while !*stop.borrow() {
         caller.refresh_addresses().await;
-        caller.send_request(number).await;
+        caller.send_next(number).await;
         number += 1;
         let pause = caller.rng.below(PAUSE_MAX_MS);
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
     }
 }
 
+/// Kind of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Repeatable,
+    OneTime,
+    Crashing,
+}
+
 impl Caller {
+    fn new(spec: Spec) -> Caller {
+        Caller {
+            rng: rng::SplitMix64::new(digest::of(&(spec.seed, spec.number))),
+            spec,
+            addresses: Vec::new(),
+            resolved_at: None,
+            connection: None,
+        }
+    }
+
     /// Queries the directories unless the cached list is still valid.
     async fn refresh_addresses(&mut self) {
         let ttl = time::Duration::from_millis(ADDRESSES_TTL_MS);
@@ -117,9 +147,18 @@
         Some((address, sender))
     }
 
-    async fn send_request(&mut self, number: u64) {
+    async fn send_next(&mut self, number: u64) {
         let id = format!("r{:x}-{}-{number}", self.spec.seed, self.spec.number);
-        let is_one_time = self.rng.below(100) < ONE_TIME_PERCENT;
+        let kind = match self.rng.below(100) < ONE_TIME_PERCENT {
+            true => Kind::OneTime,
+            false => Kind::Repeatable,
+        };
+        let is_one_time = kind == Kind::OneTime;
+        let message = self.spec.wire.request(&id, is_one_time, DEADLINE_MS);
+        self.send_request(&message, kind, id).await;
+    }
+
+    async fn send_request(&mut self, message: &wire::Message, kind: Kind, id: String) {
         let Some((address, mut sender)) = self.connect().await else {
             self.resolved_at = None;
             return;
@@ -129,16 +168,16 @@
             self.spec.ledger.record_violation(text);
             return;
         };
-        let message = self.spec.wire.request(&id, is_one_time, DEADLINE_MS);
         self.spec.ledger.record_attempt(ledger::Attempt {
             id: id.clone(),
-            is_one_time,
+            is_one_time: kind == Kind::OneTime,
+            is_crashing: kind == Kind::Crashing,
             entry: *entry,
             at: time::Instant::now(),
             outcome: None,
         });
         let timeout = time::Duration::from_millis(DEADLINE_MS + DEADLINE_MARGIN_MS);
-        let exchanged = tokio::time::timeout(timeout, exchange(&mut sender, &message)).await;
+        let exchanged = tokio::time::timeout(timeout, exchange(&mut sender, message)).await;
         let outcome = match exchanged {
             Err(_) => ledger::Outcome::TimedOut,
             Ok(Err(outcome)) => outcome,
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -4,9 +4,15 @@
 use crate::server;
 use std::time;
 
+mod crashes;
+mod limits;
+
 /// Time after a fault within which guarantees with a time bound do not hold.
 const FAULT_MARGIN: time::Duration = time::Duration::from_millis(3_000);
 
+/// Time within which all entry processes know what one of them has learned.
+const CONTACT: time::Duration = time::Duration::from_millis(3_000);
+
 /// Attempts of a scenario by outcome.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Counts {
@@ -18,18 +24,28 @@
     pub refused: usize,
     /// Attempts with any other outcome.
     pub unknown: usize,
+    /// Requests at servers that named a limit.
+    pub limited: usize,
+    /// Runs of the request that crashes servers.
+    pub crashes: usize,
 }
 
 /// Returns descriptions of the violated guarantees, and the counts.
 pub fn check(observations: &ledger::Observations) -> (Vec<String>, Counts) {
     let mut violations = observations.violations.clone();
-    let mut counts = Counts::default();
+    let mut counts = Counts {
+        limited: observations.limited_arrivals.len(),
+        ..Counts::default()
+    };
     for attempt in observations.attempts.values() {
         counts.attempts += 1;
         let runs = observations
             .runs
             .get(&attempt.id)
             .map_or(&[][..], Vec::as_slice);
+        if attempt.is_crashing {
+            counts.crashes += runs.len();
+        }
         violations.extend(check_run_count(attempt, runs));
         violations.extend(check_run_times(observations, attempt, runs));
         match &attempt.outcome {
@@ -42,6 +58,8 @@
         }
         violations.extend(check_outcome(observations, attempt, runs));
     }
+    violations.extend(limits::check(observations));
+    violations.extend(crashes::check(observations));
     (violations, counts)
 }
 
@@ -76,7 +94,9 @@
             let is_own = *is_signed && *body == server::response_body(id).into_bytes();
             (!is_own || runs.is_empty()).then(|| format!("{id} got a response that is not its own"))
         }
-        Some((_, Outcome::Answered { status, .. })) if matches!(status, 400..500) => {
+        Some((_, Outcome::Answered { status, .. }))
+            if matches!(status, 400..500) && !attempt.is_crashing =>
+        {
             Some(format!("{id} was rejected with status {status}"))
         }
         Some((at, Outcome::ConnectionLost))
@@ -118,6 +138,14 @@
         || observations.control_faults.iter().any(is_in_effect)
 }
 
+/// Returns whether the entry process has returned from a fault or a stop so late before `at` that it
+/// need not know what the others have learned.
+fn was_disturbed(observations: &ledger::Observations, entry: usize, at: time::Instant) -> bool {
+    let faults = observations.entry_faults.iter();
+    let mut disturbances = faults.chain(&observations.stops);
+    disturbances.any(|(n, span)| *n == entry && at >= span.from && at <= span.to + CONTACT)
+}
+
 /// Returns a violation if a request reached a server after it was closed to requests.
 fn check_run_times(
     observations: &ledger::Observations,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -5,7 +5,10 @@
 use crate::{ledger, plan, process, server};
 use nutmegdale_testkit::link;
 use std::io;
+use std::sync;
 use std::time;
+use tokio::sync::mpsc;
+use tokio::task;
 
 /// Delay before a killed program is started again.
 const RESTART_DELAY_MS: u64 = 400;
@@ -23,6 +26,10 @@
 const BIND_ATTEMPTS_COUNT: u32 = 20;
 /// Delay between two of these attempts.
 const BIND_RETRY_DELAY_MS: u64 = 50;
+/// Time after which another server takes the place of one that crashed under a request.
+const CRASHED_MS: u64 = 1_500;
+/// Time for which a server names a limit.
+const LIMIT_MS: u64 = 10_000;
 /// Timeout of the deregistration of a server.
 const LEAVE_TIMEOUT_MS: u64 = 1_000;
 
@@ -54,6 +61,14 @@
                 Ok(())
             }
             Action::Server(n, fault) => self.apply_server_fault(n, fault).await,
+            Action::LimitServer(n, milli_per_s) => {
+                self.limit_server(n, milli_per_s).await;
+                Ok(())
+            }
+            Action::SendCrashing => {
+                self.start_crashing_caller().await;
+                Ok(())
+            }
         }
     }
 
@@ -238,6 +253,57 @@
         Ok(())
     }
 
+    /// Makes the server at `n` name a limit for a while, unless another one takes its place before.
+    async fn limit_server(&self, n: usize, milli_per_s: u32) {
+        let id = {
+            let backends = self.backends.lock().await;
+            backends[n].server.set_limit(milli_per_s);
+            backends[n].server.id().to_owned()
+        };
+        tokio::time::sleep(millis(LIMIT_MS)).await;
+        let backends = self.backends.lock().await;
+        if backends[n].server.id() == id {
+            backends[n].server.set_limit(0);
+        }
+        drop(backends);
+        self.ledger.record_limit_end(&id);
+    }
+
+    /// Ends each server that crashes under a request, and starts another one in its place later.
+    pub(crate) async fn replace_crashed(
+        self: sync::Arc<Scenario>,
+        mut crashed: mpsc::UnboundedReceiver<String>,
+    ) {
+        let mut replacing = task::JoinSet::new();
+        while let Some(id) = crashed.recv().await {
+            let scenario = sync::Arc::clone(&self);
+            replacing.spawn(async move { scenario.crash_server(id).await });
+        }
+    }
+
+    async fn crash_server(&self, id: String) {
+        let from = time::Instant::now();
+        let Some(n) = self.end_server(&id).await else {
+            return;
+        };
+        tokio::time::sleep(millis(CRASHED_MS)).await;
+        if let Err(err) = self.replace_server(n).await {
+            let text = format!("{id} cannot be replaced: {err}");
+            self.ledger.record_violation(text);
+        }
+        let span = Scenario::span_since(from);
+        self.ledger.observations().server_faults.push((id, span));
+    }
+
+    /// Ends the server `id` and its connections; returns its place, unless another one took it.
+    async fn end_server(&self, id: &str) -> Option<usize> {
+        let mut backends = self.backends.lock().await;
+        let n = backends.iter().position(|b| b.server.id() == id)?;
+        backends[n].server.end();
+        backends[n].link.end().await;
+        Some(n)
+    }
+
     async fn drain_server(&self, n: usize, id: &str) -> io::Result<()> {
         self.backends.lock().await[n].server.drain();
         tokio::time::sleep(millis(DRAIN_MS)).await;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -18,6 +18,30 @@
     pub is_answered: bool,
 }
 
+/// Arrival of a request at a server that names a rate limit, whether or not the server runs it.
+#[derive(Debug, Clone)]
+pub struct LimitedArrival {
+    /// Identity of the server.
+    pub server: String,
+    /// Identifier of the request.
+    pub id: String,
+    /// When it arrived.
+    pub at: time::Instant,
+}
+
+/// Time for which a server named a rate limit.
+#[derive(Debug, Clone)]
+pub struct NamedLimit {
+    /// Identity of the server.
+    pub server: String,
+    /// Limit in thousandths of a request per second.
+    pub milli_per_s: u32,
+    /// When a response first named the limit.
+    pub first_named_at: time::Instant,
+    /// When the server stopped naming it; `None` while it does.
+    pub ended_at: Option<time::Instant>,
+}
+
 /// Outcome of an attempt, as the caller observes it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -45,6 +69,8 @@
     pub id: String,
     /// Whether the request may be executed once at most.
     pub is_one_time: bool,
+    /// Whether the request crashes the servers that run it.
+    pub is_crashing: bool,
     /// Index of the entry process that it was sent to.
     pub entry: usize,
     /// When it was sent.
@@ -77,6 +103,10 @@
     pub stops: Vec<(usize, Span)>,
     /// Faults of servers, with the identity of the server.
     pub server_faults: Vec<(String, Span)>,
+    /// Limits that servers named.
+    pub limits: Vec<NamedLimit>,
+    /// Requests that arrived at servers while these named a limit.
+    pub limited_arrivals: Vec<LimitedArrival>,
     /// Descriptions of violations that were detected when they happened.
     pub violations: Vec<String>,
 }
@@ -122,6 +152,40 @@
             .push(run);
     }
 
+    /// Records that a request arrived at a server that names a limit.
+    pub fn record_limited_arrival(&self, server: &str, id: &str) {
+        let arrival = LimitedArrival {
+            server: server.to_owned(),
+            id: id.to_owned(),
+            at: time::Instant::now(),
+        };
+        self.observations().limited_arrivals.push(arrival);
+    }
+
+    /// Records that a response of a server names a limit, if it is the first one.
+    pub fn record_limit(&self, server: &str, milli_per_s: u32) {
+        let mut observations = self.observations();
+        let mut limits = observations.limits.iter();
+        if limits.any(|limit| limit.server == server) {
+            return;
+        }
+        observations.limits.push(NamedLimit {
+            server: server.to_owned(),
+            milli_per_s,
+            first_named_at: time::Instant::now(),
+            ended_at: None,
+        });
+    }
+
+    /// Records that a server names a limit no more.
+    pub fn record_limit_end(&self, server: &str) {
+        let mut observations = self.observations();
+        let limits = observations.limits.iter_mut();
+        for limit in limits.filter(|limit| limit.server == server) {
+            limit.ended_at.get_or_insert_with(time::Instant::now);
+        }
+    }
+
     /// Records that a server has sent its whole response to a request.
     pub fn record_response(&self, id: &str, server: &str) {
         let mut observations = self.observations();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,7 +1,7 @@
 //! Schedule of faults and operator actions, drawn from a seed.
 
-use nutmegdale_base::rng;
 use nutmegdale_base::rng::Rng;
+use nutmegdale_base::{digest, rng};
 
 /// Fault of a backend server or of its link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +47,10 @@
     Configure,
     /// Takes a zone out of service for a while and back in.
     EmptyZone(usize),
+    /// Makes a backend server name a rate limit, in thousandths of a request per second.
+    LimitServer(usize, u32),
+    /// Sends a request that crashes the servers that run it, again and again until the load ends.
+    SendCrashing,
 }
 
 /// Action at a time.
@@ -71,6 +75,9 @@
     pub zones: usize,
     /// Time during which faults are injected, in milliseconds.
     pub faults_ms: u64,
+    /// Whether the protection of servers is played, too: some name limits, and a request crashes those
+    /// that run it.
+    pub has_protection: bool,
 }
 
 impl Size {
@@ -81,6 +88,12 @@
         servers: 6,
         zones: 3,
         faults_ms: 9_000,
+        has_protection: false,
+    };
+    /// Like [`Size::SMALL`], with the protection of servers.
+    pub const SMALL_WITH_PROTECTION: Size = Size {
+        has_protection: true,
+        ..Size::SMALL
     };
 }
 
@@ -93,8 +106,49 @@
 /// up by then.
 const WIPE_GAP_MIN_MS: u64 = 60_000;
 
+/// Latest time at which a server begins to name a limit or the request that crashes servers comes, in
+/// milliseconds, so that faults follow.
+const PROTECTION_START_MAX_MS: u64 = 4_000;
+/// Range of the limits that servers name, in thousandths of a request per second.
+const LIMIT_MILLI_PER_S: (u64, u64) = (500, 5_000);
+
 /// Draws the plan of a seed.
 pub fn draw(seed: u64, size: Size) -> Vec<Step> {
+    let mut steps = draw_faults(seed, size);
+    if size.has_protection {
+        steps.extend(draw_protection(seed, size));
+        steps.sort_by_key(|step| step.at_ms);
+    }
+    steps
+}
+
+/// Draws the limits that servers name and the start of a request that crashes servers. They have random
+/// numbers of their own, so that the faults of a seed stay as they are.
+fn draw_protection(seed: u64, size: Size) -> Vec<Step> {
+    let mut rng = rng::SplitMix64::new(digest::of(&(seed, "protection")));
+    let limits_count = rng.below(3);
+    let first_server = rng.below(size.servers as u64) as usize;
+    let mut steps = Vec::new();
+    for n in 0..limits_count as usize {
+        // Two limits are at different servers, so that the first one holds until it ends.
+        let server = (first_server + n) % size.servers;
+        let range = LIMIT_MILLI_PER_S.1 - LIMIT_MILLI_PER_S.0;
+        let milli_per_s = (LIMIT_MILLI_PER_S.0 + rng.below(range)) as u32;
+        steps.push(Step {
+            at_ms: rng.below(PROTECTION_START_MAX_MS),
+            action: Action::LimitServer(server, milli_per_s),
+        });
+    }
+    if limits_count == 0 || rng.below(2) == 0 {
+        steps.push(Step {
+            at_ms: rng.below(PROTECTION_START_MAX_MS),
+            action: Action::SendCrashing,
+        });
+    }
+    steps
+}
+
+fn draw_faults(seed: u64, size: Size) -> Vec<Step> {
     let mut rng = rng::SplitMix64::new(seed);
     let mut steps = Vec::new();
     let mut at_ms = 500;
--- a/crates/soak/src/scenario.rs
+++ b/crates/soak/src/scenario.rs
@@ -3,13 +3,12 @@
 
 use crate::{caller, check, ledger, operator, plan, process, server, wire};
 use nutmegdale_testkit::{addresses, link};
-use std::collections;
 use std::io;
 use std::net;
 use std::path;
 use std::sync;
 use std::time;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task;
 
 /// Time limit for the first configuration to be accepted and served after the programs start.
@@ -55,6 +54,11 @@
     pub(crate) addresses: sync::Mutex<addresses::Addresses>,
     pub(crate) servers_started_count: sync::atomic::AtomicUsize,
     pub(crate) zones: Vec<String>,
+    seed: u64,
+    crashed: mpsc::UnboundedSender<String>,
+    /// Callers, which end when `stop` turns true.
+    callers: tokio::sync::Mutex<task::JoinSet<()>>,
+    stop: watch::Sender<bool>,
 }
 
 /// Runs the scenario of `seed` with the program `binary`; settings, data and logs are written to
@@ -71,20 +75,24 @@
     folder: &path::Path,
 ) -> io::Result<Verdict> {
     let steps = plan::draw(seed, size);
-    let scenario = sync::Arc::new(Scenario::start(seed, size, wire, binary, folder).await?);
+    let (crashed, crashes) = mpsc::unbounded_channel();
+    let scenario = Scenario::start(seed, size, wire, binary, folder, crashed).await?;
+    let scenario = sync::Arc::new(scenario);
+    let replacing = sync::Arc::clone(&scenario);
+    let replacing = tokio::spawn(replacing.replace_crashed(crashes));
     let bootstrapped = tokio::time::timeout(millis(BOOTSTRAP_MAX_MS), scenario.bootstrap()).await;
     if bootstrapped.is_err() {
         let text = format!("no configuration was accepted and served within {BOOTSTRAP_MAX_MS} ms");
         scenario.ledger.record_violation(text);
     }
-    let (stop, stopped) = watch::channel(false);
-    let mut callers = scenario.start_callers(seed, &stopped);
+    scenario.start_callers().await;
     scenario.clone().play_steps(&steps).await;
     tokio::time::sleep(millis(RECOVERY_MAX_MS)).await;
     let recovered_at = time::Instant::now();
     tokio::time::sleep(millis(MEASURE_MS)).await;
-    stop.send_replace(true);
-    while callers.join_next().await.is_some() {}
+    scenario.stop.send_replace(true);
+    while scenario.callers.lock().await.join_next().await.is_some() {}
+    replacing.abort();
     if scenario.operator.read().await == 0 {
         scenario
             .ledger
@@ -111,6 +119,7 @@
         wire: sync::Arc<dyn wire::Wire>,
         binary: &path::Path,
         folder: &path::Path,
+        crashed: mpsc::UnboundedSender<String>,
     ) -> io::Result<Scenario> {
         let mut addresses = addresses::Addresses::reserve();
         let zones: Vec<_> = (0..size.zones).map(|n| format!("zone-{n}")).collect();
@@ -159,6 +168,10 @@
             addresses: sync::Mutex::new(addresses),
             servers_started_count: sync::atomic::AtomicUsize::new(0),
             zones,
+            seed,
+            crashed,
+            callers: tokio::sync::Mutex::default(),
+            stop: watch::channel(false).0,
         };
         for n in 0..size.servers {
             let backend = scenario.start_backend(n).await?;
@@ -187,6 +200,7 @@
             zone: self.zones[n % self.zones.len()].clone(),
             service: SERVICE,
             control: self.control_addresses(),
+            crashed: self.crashed.clone(),
             ledger: sync::Arc::clone(&self.ledger),
             wire: sync::Arc::clone(&self.wire),
         };
@@ -221,33 +235,41 @@
         }
     }
 
-    fn start_callers(&self, seed: u64, stop: &watch::Receiver<bool>) -> task::JoinSet<()> {
-        let ips: Vec<_> = self
-            .entry
-            .iter()
-            .map(|process| process::lock(process).program.ip)
-            .collect();
-        let entries: collections::HashMap<_, _> = ips
-            .iter()
-            .enumerate()
-            .map(|(n, ip)| (self.wire.entry_address(*ip), n))
-            .collect();
-        let mut callers = task::JoinSet::new();
-        for number in 0..CALLERS_PER_ZONE * self.zones.len() {
-            let zone = number % self.zones.len();
-            let nearest = ips.iter().cycle().skip(zone).take(ips.len().min(3));
-            let spec = caller::Spec {
-                number,
-                seed,
-                zone: self.zones[zone].clone(),
-                directories: nearest.map(|ip| self.wire.directory_address(*ip)).collect(),
-                entries: entries.clone(),
-                ledger: sync::Arc::clone(&self.ledger),
-                wire: sync::Arc::clone(&self.wire),
-            };
-            callers.spawn(caller::run(spec, stop.clone()));
+    async fn start_callers(&self) {
+        let mut callers = self.callers.lock().await;
+        for number in 0..self.callers_count() {
+            callers.spawn(caller::run(self.caller(number), self.stop.subscribe()));
+        }
+    }
+
+    /// Starts a caller whose request crashes the servers that run it.
+    pub(crate) async fn start_crashing_caller(&self) {
+        let spec = self.caller(self.callers_count());
+        let sending = caller::run_crashing(spec, self.stop.subscribe());
+        self.callers.lock().await.spawn(sending);
+    }
+
+    fn callers_count(&self) -> usize {
+        CALLERS_PER_ZONE * self.zones.len()
+    }
+
+    /// Returns the parameters of the caller with a number.
+    fn caller(&self, number: usize) -> caller::Spec {
+        let processes = self.entry.iter();
+        let ips: Vec<_> = processes.map(|p| process::lock(p).program.ip).collect();
+        let addresses = ips.iter().map(|ip| self.wire.entry_address(*ip));
+        let entries = addresses.enumerate().map(|(n, address)| (address, n));
+        let zone = number % self.zones.len();
+        let nearest = ips.iter().cycle().skip(zone).take(ips.len().min(3));
+        caller::Spec {
+            number,
+            seed: self.seed,
+            zone: self.zones[zone].clone(),
+            directories: nearest.map(|ip| self.wire.directory_address(*ip)).collect(),
+            entries: entries.collect(),
+            ledger: sync::Arc::clone(&self.ledger),
+            wire: sync::Arc::clone(&self.wire),
         }
-        callers
     }
 
     /// Starts each step of the plan at its time and waits until all have ended; steps may overlap.
@@ -275,7 +297,7 @@
         let attempts = observations
             .attempts
             .values()
-            .filter(|attempt| attempt.at >= recovered_at);
+            .filter(|attempt| attempt.at >= recovered_at && !attempt.is_crashing);
         let attempts: Vec<_> = attempts.collect();
         let is_served = |attempt: &&&ledger::Attempt| {
             let outcome = attempt.outcome.as_ref().map(|(_, outcome)| outcome);
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic;
 use std::time;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task;
 
 /// Number of requests that a server executes at once.
@@ -37,6 +37,10 @@
     running_count: atomic::AtomicUsize,
     is_truncating: atomic::AtomicBool,
     is_draining: atomic::AtomicBool,
+    /// Limit that the server names, in thousandths of a request per second; 0 without one.
+    limit_milli_per_s: atomic::AtomicU32,
+    /// Tells the scenario that the server has crashed.
+    crashed: mpsc::UnboundedSender<String>,
     /// From when on no request may reach the server.
     closed_from: sync::Mutex<Option<time::Instant>>,
     next_seed: atomic::AtomicU64,
@@ -60,7 +64,7 @@
 pub struct Server {
     shared: sync::Arc<Shared>,
     _stop: watch::Sender<bool>,
-    _tasks: task::JoinSet<()>,
+    tasks: task::JoinSet<()>,
 }
 
 /// Parameters of a server.
@@ -78,6 +82,8 @@
     pub service: &'static str,
     /// Addresses of the control processes.
     pub control: Vec<net::SocketAddr>,
+    /// Receives the identity of the server when it crashes; the receiver ends it.
+    pub crashed: mpsc::UnboundedSender<String>,
     /// Record of the requests that it executes.
     pub ledger: sync::Arc<ledger::Ledger>,
     /// Wire format.
@@ -100,6 +106,8 @@
             running_count: atomic::AtomicUsize::new(0),
             is_truncating: atomic::AtomicBool::new(false),
             is_draining: atomic::AtomicBool::new(false),
+            limit_milli_per_s: atomic::AtomicU32::new(0),
+            crashed: spec.crashed,
             closed_from: sync::Mutex::default(),
             next_seed: atomic::AtomicU64::new(u64::from(spec.listen.port()) << 32),
         });
@@ -119,10 +127,15 @@
         Ok(Server {
             shared,
             _stop: stop,
-            _tasks: tasks,
+            tasks,
         })
     }
 
+    /// Ends the server without deregistration.
+    pub fn end(&mut self) {
+        self.tasks.abort_all();
+    }
+
     /// Returns the identity of the server.
     pub fn id(&self) -> &str {
         &self.shared.id
@@ -139,6 +152,15 @@
         self.shared.is_truncating.store(is_truncating, order);
     }
 
+    /// Makes the server name a limit in thousandths of a request per second, or none with 0.
+    pub fn set_limit(&self, milli_per_s: u32) {
+        let order = atomic::Ordering::Relaxed;
+        self.shared.limit_milli_per_s.store(milli_per_s, order);
+        if milli_per_s == 0 {
+            self.shared.ledger.record_limit_end(&self.shared.id);
+        }
+    }
+
     /// Makes the server announce that it is draining.
     pub fn drain(&self) {
         let order = atomic::Ordering::Relaxed;
@@ -239,8 +261,14 @@
     received: wire::ReceivedRequest,
     body: body::Incoming,
 ) -> hyper::Response<listen::Body> {
+    let limit_milli_per_s = shared.limit_milli_per_s.load(atomic::Ordering::Relaxed);
     let respond = |status: u16, is_not_run: bool, text: String| {
         let mut response = hyper::Response::builder().status(status);
+        if limit_milli_per_s > 0 {
+            let (name, value) = shared.wire.limit_header(limit_milli_per_s);
+            response = response.header(name, value);
+            shared.ledger.record_limit(&shared.id, limit_milli_per_s);
+        }
         for (name, value) in shared
             .wire
             .response_headers(&shared.id, &received.id, is_not_run)
@@ -253,6 +281,11 @@
     if received.is_health_check {
         return respond(200, false, String::new());
     }
+    if limit_milli_per_s > 0 {
+        shared
+            .ledger
+            .record_limited_arrival(&shared.id, &received.id);
+    }
     if received
         .expected_server
         .as_deref()
@@ -274,6 +307,11 @@
             is_answered: false,
         },
     );
+    if received.is_crashing {
+        // Without a receiver the scenario has ended.
+        drop(shared.crashed.send(shared.id.clone()));
+        std::future::pending::<()>().await;
+    }
     drop(http_body_util::BodyExt::collect(body).await);
     let service_time = SERVICE_TIME_MS.0 + shared.random(SERVICE_TIME_MS.1 - SERVICE_TIME_MS.0);
     tokio::time::sleep(time::Duration::from_millis(service_time)).await;
--- a/crates/soak/src/wire.rs
+++ b/crates/soak/src/wire.rs
@@ -74,6 +74,8 @@
     pub expected_server: Option<String>,
     /// Whether the request is a health check.
     pub is_health_check: bool,
+    /// Whether the request crashes the server.
+    pub is_crashing: bool,
 }
 
 /// Wire format, addresses and command line of the programs under test.
@@ -105,6 +107,10 @@
     fn set_zone(&self, zone: &str, is_out: bool) -> Message;
     /// Encodes a request of a caller; a one-time request may be executed once at most.
     fn request(&self, id: &str, is_one_time: bool, deadline_ms: u64) -> Message;
+    /// Encodes a request that crashes the servers that run it: the same one each time but for `id`.
+    fn crashing_request(&self, id: &str, deadline_ms: u64) -> Message;
+    /// Returns the header with which a server names a limit in thousandths of a request per second.
+    fn limit_header(&self, milli_per_s: u32) -> (&'static str, String);
     /// Parses the head of a request that a backend server received.
     fn parse_request(&self, head: &hyper::http::request::Parts) -> ReceivedRequest;
     /// Returns the headers of the response of `server` to the request `id`.
