gossip: a process that knows no peers wakes twice a second after its start

What happens without it: the only entry process of a deployment begins a round every 100 ms for as long as it runs, since its comparisons and news are due and there is nobody to send them to.

Change: without peers a round is due after 500 ms once the first 10 s have passed.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -344,15 +344,15 @@
         for (peer, message) in &outgoing {
             send(shared, socket, *peer, message).await;
         }
-        wait_round(&shared.gossip).await;
+        wait_round(&shared.gossip, now).await;
     }
 }
 
 /// Waits until the next round is due.
-async fn wait_round(gossip: &Gossip) {
+async fn wait_round(gossip: &Gossip, now: clock::Millis) {
     let (interval, has_news) = {
         let state = gossip.state();
-        (state.next_round(), state.has_news())
+        (state.next_round(now), state.has_news())
     };
     let news = gossip.news.notified();
     match interval.map(|interval| time::Duration::from_millis(interval.0)) {
--- a/crates/gossip/src/state.rs
+++ b/crates/gossip/src/state.rs
@@ -16,8 +16,8 @@
 const COMPARE_INTERVAL_MS: clock::Millis = clock::Millis(500);
 /// Peers with which a process compares its facts after a start or a suspension.
 const CATCH_UP_COUNT: u32 = 4;
-/// Time after its first round in which a process compares its facts again when it learns of more
-/// peers. After a start of all processes the first lists of peers are short.
+/// Time after its first round in which a process expects more peers, and compares its facts again when
+/// it learns of some. After a start of all processes the first lists of peers are short.
 const START_MS: clock::Millis = clock::Millis(10_000);
 /// Time between two rounds from which a process was suspended.
 const SUSPENDED_AFTER_MS: clock::Millis = clock::Millis(2_500);
@@ -126,11 +126,18 @@
 
     /// Returns the time until the next round; `None` if none is due before a message or an
     /// observation.
-    pub fn next_round(&self) -> Option<clock::Millis> {
-        if self.catch_up_left > 0 || self.has_news() {
-            return Some(NEWS_INTERVAL_MS);
+    pub fn next_round(&self, now: clock::Millis) -> Option<clock::Millis> {
+        let is_urgent = self.catch_up_left > 0 || self.has_news();
+        let may_have_peers = self.peers_count > 0 || self.is_starting(now);
+        match is_urgent && may_have_peers {
+            true => Some(NEWS_INTERVAL_MS),
+            false => (is_urgent || self.has_facts()).then_some(COMPARE_INTERVAL_MS),
         }
-        self.has_facts().then_some(COMPARE_INTERVAL_MS)
+    }
+
+    fn is_starting(&self, now: clock::Millis) -> bool {
+        let first_round = self.first_round.unwrap_or(now);
+        now.since(first_round) < START_MS
     }
 
     fn has_facts(&self) -> bool {
@@ -160,9 +167,8 @@
         rng: &mut dyn rng::Rng,
     ) -> Vec<Outgoing> {
         self.sends_count = peers::sends_count(peers.len());
-        let first_round = *self.first_round.get_or_insert(now);
-        let is_starting = now.since(first_round) < START_MS;
-        if is_starting && peers.len() > self.peers_count {
+        self.first_round.get_or_insert(now);
+        if self.is_starting(now) && peers.len() > self.peers_count {
             self.catch_up();
         }
         self.peers_count = peers.len();
@@ -186,7 +192,7 @@
             outgoing.extend(peers::choose(peers, own_region, rng).map(|to| (to, news)));
         }
         let has_comparison = self.takes_comparison(now);
-        self.last_active_round = self.next_round().map(|_| now);
+        self.last_active_round = self.next_round(now).map(|_| now);
         if has_comparison {
             let compare = message::Message::Compare(self.digest());
             outgoing.extend(peers::choose(peers, own_region, rng).map(|to| (to, compare)));
--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -153,7 +153,7 @@
         let now = self.now();
         let process = &mut self.processes[n];
         let outgoing = process.state.round(now, &others, region(n), &mut self.rng);
-        let interval = process.state.next_round();
+        let interval = process.state.next_round(now);
         process.next_round_ms = interval.map_or(u64::MAX, |interval| self.now_ms + interval.0);
         for (to, message) in outgoing {
             self.send(n, index(to), message);
@@ -236,6 +236,22 @@
     assert!(compared <= 132 * 21, "{compared} comparisons in 10 s");
 }
 
+/// Guards against a process that wakes often for as long as it runs, since it has no peers to tell.
+#[test]
+fn process_without_peers_seldom_wakes() {
+    let mut state = state::State::new();
+    let mut now = clock::Millis(1_000);
+    assert!(state.observe_limit(now, KEY, Some(1_600)));
+    let mut rounds_count = 0;
+    while now < clock::Millis(61_000) {
+        state.round(now, &[], REGIONS[0], &mut rng::SplitMix64::new(1));
+        let interval = state.next_round(now).expect("a fact to compare");
+        now = now + interval;
+        rounds_count += 1;
+    }
+    assert!(rounds_count <= 10 * 10 + 50 * 2, "{rounds_count} rounds");
+}
+
 /// Guards against processes that stay without the facts after they were cut off, frozen or restarted.
 #[test]
 fn processes_that_return_catch_up() {
